Move target connections and the stand-in platform's client to packages of their own

Cause: the users' platform gets a folder `platform/`, so the package of that name is now `storage`; connections to targets and end-to-end headers are needed by a second request path. Behaviour is unchanged.

--- a/packages/daemon/src/blocked-store.ts
+++ b/packages/daemon/src/blocked-store.ts
@@ -2,7 +2,7 @@
 import { randomUUID } from 'node:crypto'
 import type { Clock, Logger } from '@pimentotally/core'
 import type { CrashRecord } from '@pimentotally/limits'
-import type { TableService } from '@pimentotally/platform'
+import type { TableService } from '@pimentotally/storage'
 
 const prefix = 'blocked/'
 const rowKey = (identity: string): string => `${prefix}${encodeURIComponent(identity)}`
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -26,7 +26,7 @@
   HttpPlatform,
   HttpTable,
   RequestLedger,
-} from '@pimentotally/platform'
+} from '@pimentotally/storage'
 import { CallerServer, ForwardServer, RequestHandler, type CutRequest } from '@pimentotally/proxy'
 import { PeerClients, PeerService, requirePeerSecret, serveRpc, type RunningServer } from '@pimentotally/wire'
 import { BlockedStore } from './blocked-store.js'
--- a/packages/daemon/src/ledger.ts
+++ b/packages/daemon/src/ledger.ts
@@ -1,5 +1,5 @@
 /** Connects the request path to the request ledger on the platform. */
-import type { RequestLedger } from '@pimentotally/platform'
+import type { RequestLedger } from '@pimentotally/storage'
 import {
   RequestLedgerPort,
   type LedgerAnswer,
--- a/packages/daemon/src/observed-table.ts
+++ b/packages/daemon/src/observed-table.ts
@@ -8,7 +8,7 @@
   type Row,
   type ScanOptions,
   type Transaction,
-} from '@pimentotally/platform'
+} from '@pimentotally/storage'
 import type { Metrics } from './metrics.js'
 
 /** A failure counts against reachability for this time, unless a later call succeeds. */
--- a/packages/proxy/src/headers.ts
+++ b/packages/http/src/headers.ts
@@ -23,10 +23,16 @@
   return names
 }
 
+export interface EndToEndOptions {
+  readonly dropContentLength: boolean
+  /** Further fields to drop, in lower case. */
+  readonly without?: ReadonlySet<string>
+}
+
 /** Drops hop-by-hop fields and everything that starts with `pimentotally`. */
 export const endToEnd = (
   { rawHeaders: raw, headers }: IncomingMessage,
-  dropContentLength: boolean,
+  { dropContentLength, without }: EndToEndOptions,
 ): string[] => {
   const named = namedByConnection(headers.connection)
   const kept: string[] = []
@@ -35,7 +41,7 @@
     const name = original.toLowerCase()
     if (hopByHop.has(name) || name.startsWith('pimentotally')) continue
     if (dropContentLength && name === 'content-length') continue
-    if (named?.has(name) === true) continue
+    if (named?.has(name) === true || without?.has(name) === true) continue
     kept.push(original, raw[index + 1] ?? '')
   }
   return kept
--- /dev/null
+++ b/packages/http/src/http-caller.ts
@@ -0,0 +1,173 @@
+/**
+ * Calls with a whole response in memory: to the store, to targets' control endpoints and to peers. Each call has one
+ * timeout. A call that ends without a response resets its connection, so that bytes still on their way are not
+ * delivered later, and drops the idle connections to that address, which may have gone silent as well.
+ */
+import { request, type IncomingHttpHeaders, type IncomingMessage } from 'node:http'
+import type { Socket } from 'node:net'
+import { Result } from 'true-myth'
+import { TargetAgent } from './target-agent.js'
+
+export interface HttpCallSpec {
+  /** Names the call in errors, for example `grant.renew`. */
+  readonly step: string
+  /** IP address and port. */
+  readonly address: string
+  readonly method: string
+  readonly path: string
+  readonly headers?: Readonly<Record<string, string>>
+  readonly body?: string
+  readonly timeoutMs: number
+}
+
+export interface HttpResponse {
+  readonly status: number
+  readonly headers: IncomingHttpHeaders
+  readonly body: Buffer
+}
+
+/** `not_sent` means that certainly no byte reached the peer; the others leave the outcome open. */
+export interface HttpCallError {
+  readonly code: 'not_sent' | 'lost' | 'timed_out'
+  readonly step: string
+  readonly peer: string
+  readonly message: string
+  /** The operating system's code, for example `ECONNREFUSED`. */
+  readonly cause?: string
+}
+
+export interface HttpCallerOptions {
+  /** Connections to one address. */
+  readonly connections?: number
+  readonly idleTimeoutMs?: number
+  readonly maxResponseBytes?: number
+}
+
+/** Splits `ip:port`. */
+export const splitAddress = (address: string): { readonly host: string; readonly port: number } => {
+  const colon = address.lastIndexOf(':')
+  return { host: address.slice(0, colon).replace(/^\[|\]$/g, ''), port: Number(address.slice(colon + 1)) }
+}
+
+export class HttpCaller {
+  readonly #options: Required<HttpCallerOptions>
+  readonly #agents = new Map<string, TargetAgent>()
+
+  constructor({
+    connections = 4,
+    idleTimeoutMs = 8000,
+    maxResponseBytes = 64 * 1024 * 1024,
+  }: HttpCallerOptions = {}) {
+    this.#options = { connections, idleTimeoutMs, maxResponseBytes }
+  }
+
+  /** An idle connection that closes under a reused request is retried once on a fresh one, for idempotent calls. */
+  async call(spec: HttpCallSpec, { idempotent = false } = {}): Promise<Result<HttpResponse, HttpCallError>> {
+    const startedMs = performance.now()
+    const first = await this.#attempt(spec)
+    if (first.result.isOk || !first.reused || !idempotent || first.result.error.code === 'timed_out') {
+      return first.result
+    }
+    this.dropIdle(spec.address)
+    const timeoutMs = spec.timeoutMs - (performance.now() - startedMs)
+    if (timeoutMs < 1) return first.result
+    return (await this.#attempt({ ...spec, timeoutMs })).result
+  }
+
+  dropIdle(address: string): void {
+    this.#agents.get(address)?.dropIdle()
+  }
+
+  /** Closes the connections to all addresses but these. */
+  retain(addresses: ReadonlySet<string>): void {
+    for (const [address, agent] of this.#agents) {
+      if (addresses.has(address)) continue
+      agent.destroy()
+      this.#agents.delete(address)
+    }
+  }
+
+  close(): void {
+    this.retain(new Set())
+  }
+
+  #agent(address: string): TargetAgent {
+    let agent = this.#agents.get(address)
+    if (agent === undefined) {
+      const { connections, idleTimeoutMs } = this.#options
+      agent = new TargetAgent({ connections, idleTimeoutMs, onClosed: () => undefined })
+      this.#agents.set(address, agent)
+    }
+    return agent
+  }
+
+  #attempt(
+    spec: HttpCallSpec,
+  ): Promise<{ readonly result: Result<HttpResponse, HttpCallError>; readonly reused: boolean }> {
+    return new Promise((resolve) => {
+      const { step, address, method, path, headers, body, timeoutMs } = spec
+      let sent = false
+      let socket: Socket | undefined
+      let settled = false
+      const settle = (result: Result<HttpResponse, HttpCallError>): void => {
+        if (settled) return
+        settled = true
+        clearTimeout(timer)
+        resolve({ result, reused: outgoing.reusedSocket })
+      }
+      const fail = (code: HttpCallError['code'], message: string, cause?: string): void => {
+        settle(Result.err({ code: sent ? code : 'not_sent', step, peer: address, message, cause }))
+      }
+      const timer = setTimeout(() => {
+        fail('timed_out', `no response within ${String(Math.round(timeoutMs))} ms`)
+        if (socket?.connecting === false) socket.resetAndDestroy()
+        outgoing.destroy()
+        this.dropIdle(address)
+      }, timeoutMs)
+      const outgoing = request({
+        agent: this.#agent(address),
+        ...splitAddress(address),
+        method,
+        path,
+        headers: {
+          host: address,
+          ...headers,
+          ...(body === undefined ? {} : { 'content-length': String(Buffer.byteLength(body)) }),
+        },
+      })
+      outgoing.once('socket', (opened) => {
+        socket = opened
+        if (opened.connecting) opened.once('connect', () => (sent = true))
+        else sent = true
+      })
+      outgoing.on('error', (error: NodeJS.ErrnoException) => {
+        fail('lost', error.message, error.code)
+      })
+      outgoing.on('response', (incoming) => {
+        collect(incoming, this.#options.maxResponseBytes).then(
+          (bytes) => {
+            settle(Result.ok({ status: incoming.statusCode ?? 0, headers: incoming.headers, body: bytes }))
+          },
+          (error: unknown) => {
+            fail('lost', error instanceof Error ? error.message : String(error))
+            outgoing.destroy()
+          },
+        )
+      })
+      outgoing.end(body)
+    })
+  }
+}
+
+/** Rejects when the response is cut off or too large. */
+const collect = async (incoming: IncomingMessage, maxBytes: number): Promise<Buffer> => {
+  const chunks: Buffer[] = []
+  let length = 0
+  for await (const chunk of incoming) {
+    chunks.push(chunk as Buffer)
+    length += (chunk as Buffer).length
+    if (length > maxBytes) throw new Error(`response exceeds ${String(maxBytes)} bytes`)
+  }
+  if (!incoming.complete) throw new Error('response was cut off')
+  return Buffer.concat(chunks)
+}
--- a/packages/proxy/src/target-agent.ts
+++ b/packages/http/src/target-agent.ts
@@ -5,17 +5,20 @@
 import { Agent, type AgentOptions, type ClientRequest } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
-import { ConnectionEvent } from './metrics.js'
+
+/** Why an idle connection was closed. */
+export const IdleClose = { unsolicitedBytes: 'unsolicited-bytes', droppedIdle: 'dropped-idle' } as const
+export type IdleClose = (typeof IdleClose)[keyof typeof IdleClose]
 
 export interface TargetAgentOptions {
   /** Idle and used connections together. */
   readonly connections: number
   readonly idleTimeoutMs: number
-  readonly onClosed: (event: ConnectionEvent) => void
+  readonly onClosed: (event: IdleClose) => void
 }
 
 export class TargetAgent extends Agent {
-  readonly #onClosed: (event: ConnectionEvent) => void
+  readonly #onClosed: (event: IdleClose) => void
   readonly #born = new WeakMap<Duplex, number>()
   readonly #guards = new WeakMap<Duplex, () => void>()
   readonly #used = new WeakSet<Duplex>()
@@ -48,7 +51,7 @@
     // Declared as void, though it returns whether the socket is kept.
     if (!(super.keepSocketAlive(socket) as unknown as boolean)) return false
     const guard = (): void => {
-      this.#onClosed(ConnectionEvent.unsolicitedBytes)
+      this.#onClosed(IdleClose.unsolicitedBytes)
       socket.destroy()
     }
     this.#guards.set(socket, guard)
@@ -88,7 +91,7 @@
   #dropRetired(): void {
     for (const socket of Object.values(this.freeSockets).flat()) {
       if (socket === undefined || this.#birth(socket) > this.#retired) continue
-      this.#onClosed(ConnectionEvent.droppedIdle)
+      this.#onClosed(IdleClose.droppedIdle)
       socket.destroy()
     }
   }
--- a/packages/membership/src/configuration-store.ts
+++ b/packages/membership/src/configuration-store.ts
@@ -1,7 +1,7 @@
 /** The newest configuration a host has learned, with its document, so that peers can fetch it. */
 import { Configuration, RouterError, type InvariantReporter, type Logger } from '@pimentotally/core'
 import { Result } from 'true-myth'
-import { safeDecodeConfiguration } from '@pimentotally/platform'
+import { safeDecodeConfiguration } from '@pimentotally/storage'
 
 export class ConfigurationStore {
   readonly #logger: Logger
--- a/packages/membership/src/contacts.ts
+++ b/packages/membership/src/contacts.ts
@@ -1,6 +1,6 @@
 /** Whom to talk to: members, and addresses from seeds, the host list and earlier members where none is known. */
 import type { Random } from '@pimentotally/core'
-import type { ListedHost } from '@pimentotally/platform'
+import type { ListedHost } from '@pimentotally/storage'
 import type { KnownMember, MemberTable } from './member-table.js'
 
 export interface Contact {
--- a/packages/membership/src/fleet.ts
+++ b/packages/membership/src/fleet.ts
@@ -2,8 +2,8 @@
 import { randomUUID } from 'node:crypto'
 import { InvariantReporter, Random, type Deployment } from '@pimentotally/core'
 import { VirtualTime } from '@pimentotally/core/testing'
-import { MemoryObjectStore, MemoryTable, RandomFaults } from '@pimentotally/platform'
-import { configurationObjectName, currentConfigurationKey, encodeConfiguration } from '@pimentotally/platform'
+import { MemoryObjectStore, MemoryTable, RandomFaults } from '@pimentotally/storage'
+import { configurationObjectName, currentConfigurationKey, encodeConfiguration } from '@pimentotally/storage'
 import { Membership, type MembershipOptions } from './membership.js'
 import { PeerFabric } from './peer-fabric.js'
 
--- a/packages/membership/src/gossip.test.ts
+++ b/packages/membership/src/gossip.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test, type TestContext } from 'node:test'
 import { Fence, Term, VoterKind } from '@pimentotally/core'
-import { currentConfigurationKey } from '@pimentotally/platform'
+import { currentConfigurationKey } from '@pimentotally/storage'
 import type { Membership, MembershipOptions } from './membership.js'
 import { Fleet } from './testing.js'
 
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -19,7 +19,7 @@
   type Peer,
   type RouterError,
 } from '@pimentotally/core'
-import type { HostList, ObjectStore, TableService } from '@pimentotally/platform'
+import type { HostList, ObjectStore, TableService } from '@pimentotally/storage'
 import type {
   ExchangeRequest,
   ExchangeResponseSchema,
--- a/packages/membership/src/platform-check.ts
+++ b/packages/membership/src/platform-check.ts
@@ -1,11 +1,11 @@
 /** Looks for a newer configuration on the platform, once in two seconds for a failure domain. */
 import type { Clock, Logger, Random } from '@pimentotally/core'
-import type { ObjectStore, TableService } from '@pimentotally/platform'
+import type { ObjectStore, TableService } from '@pimentotally/storage'
 import {
   configurationObjectName,
   currentConfigurationKey,
   type CurrentConfiguration,
-} from '@pimentotally/platform'
+} from '@pimentotally/storage'
 
 export interface PlatformCheckOptions {
   readonly table: TableService
--- a/packages/operator/src/audit.ts
+++ b/packages/operator/src/audit.ts
@@ -7,7 +7,7 @@
   PlatformResult,
   RecordedAuditEntry,
   Transaction,
-} from '@pimentotally/platform'
+} from '@pimentotally/storage'
 
 export const AuditOutcome = {
   accepted: 'accepted',
--- a/packages/operator/src/backend.test.ts
+++ b/packages/operator/src/backend.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { VirtualTime } from '@pimentotally/core/testing'
-import type { PlatformError } from '@pimentotally/platform'
+import type { PlatformError } from '@pimentotally/storage'
 import { Result } from 'true-myth'
 import type { AcceptedVersion, OperatorBackend } from './backend.js'
 import type { OperatorError } from './operator-error.js'
--- a/packages/operator/src/backend.ts
+++ b/packages/operator/src/backend.ts
@@ -10,7 +10,7 @@
   type Logger,
 } from '@pimentotally/core'
 import type { ChangePlan } from '@pimentotally/config'
-import type { AuditTrail, ObjectStore, RecordedAuditEntry, TableService } from '@pimentotally/platform'
+import type { AuditTrail, ObjectStore, RecordedAuditEntry, TableService } from '@pimentotally/storage'
 import { Result } from 'true-myth'
 import { AuditOutcome, OperatorAudit } from './audit.js'
 import {
--- a/packages/operator/src/store.ts
+++ b/packages/operator/src/store.ts
@@ -11,7 +11,7 @@
   type PlatformError,
   type TableService,
   type Transaction,
-} from '@pimentotally/platform'
+} from '@pimentotally/storage'
 import { Result } from 'true-myth'
 import { OperatorError, OperatorErrorCode } from './operator-error.js'
 
--- a/packages/operator/src/testing.ts
+++ b/packages/operator/src/testing.ts
@@ -1,5 +1,5 @@
 /** In-process fakes for tests: a platform whose answers and requests can be lost, a host and a cell. */
-import { AuditTrail } from '@pimentotally/platform'
+import { AuditTrail } from '@pimentotally/storage'
 import { Configuration, SilentLogger, type Clock, type Logger } from '@pimentotally/core'
 import {
   ObjectStore,
@@ -10,7 +10,7 @@
   type Row,
   type ScanOptions,
   type Transaction,
-} from '@pimentotally/platform'
+} from '@pimentotally/storage'
 import { VirtualTime } from '@pimentotally/core/testing'
 import { Result } from 'true-myth'
 import { OperatorBackend, type AcceptedVersion, type OperatorResult } from './backend.js'
--- a/packages/operator/src/views.ts
+++ b/packages/operator/src/views.ts
@@ -1,6 +1,6 @@
 /** What the operator service asks of the daemon; a host answers only for the cells that it coordinates. */
 import type { Configuration } from '@pimentotally/core'
-import type { PlatformResult } from '@pimentotally/platform'
+import type { PlatformResult } from '@pimentotally/storage'
 
 export const TargetState = {
   serving: 'serving',
--- a/packages/ownership/src/cell-store.ts
+++ b/packages/ownership/src/cell-store.ts
@@ -12,7 +12,7 @@
   Row,
   TableService,
   Transaction,
-} from '@pimentotally/platform'
+} from '@pimentotally/storage'
 import { Result } from 'true-myth'
 import { Assignment, type StoredAssignment } from './assignment.js'
 
--- a/packages/ownership/src/testing/platform.ts
+++ b/packages/ownership/src/testing/platform.ts
@@ -1,6 +1,6 @@
 /** The platform's table in virtual time: it can be absent or slow, and lose answers after a write took effect. */
-import { TableService, type CallOptions, type Committed, type Row } from '@pimentotally/platform'
-import type { PlatformError, PlatformResult, Transaction } from '@pimentotally/platform'
+import { TableService, type CallOptions, type Committed, type Row } from '@pimentotally/storage'
+import type { PlatformError, PlatformResult, Transaction } from '@pimentotally/storage'
 import type { CellRecord, Random } from '@pimentotally/core'
 import { Result } from 'true-myth'
 import { Assignment, Item } from '../assignment.js'
--- a/packages/proxy/src/at-most-once.ts
+++ b/packages/proxy/src/at-most-once.ts
@@ -2,7 +2,7 @@
 import { IdempotencyKeyRule, type Clock } from '@pimentotally/core'
 import type { Call } from './call.js'
 import { GeneratedAnswer } from './generated-answer.js'
-import { countHeader } from './headers.js'
+import { countHeader } from '@pimentotally/http'
 import type {
   LedgerAnswer,
   LedgerAttempt,
--- a/packages/proxy/src/framing.ts
+++ b/packages/proxy/src/framing.ts
@@ -4,7 +4,7 @@
  */
 import type { IncomingMessage } from 'node:http'
 import { GeneratedAnswer } from './generated-answer.js'
-import { countHeader } from './headers.js'
+import { countHeader } from '@pimentotally/http'
 
 const refuse = (code: string, message: string): GeneratedAnswer =>
   GeneratedAnswer.notRun(400, code, message, { close: true })
--- a/packages/proxy/src/routing.ts
+++ b/packages/proxy/src/routing.ts
@@ -16,7 +16,7 @@
   type ServiceSpec,
 } from '@pimentotally/core'
 import { GeneratedAnswer } from './generated-answer.js'
-import { countHeader } from './headers.js'
+import { countHeader } from '@pimentotally/http'
 
 export interface RequestKey {
   readonly shard: number
--- a/packages/proxy/src/target-pool.ts
+++ b/packages/proxy/src/target-pool.ts
@@ -3,7 +3,7 @@
 import type { Clock } from '@pimentotally/core'
 import type { ProxyMetrics } from './metrics.js'
 import type { ProxyLimits } from './proxy-limits.js'
-import { TargetAgent } from './target-agent.js'
+import { TargetAgent } from '@pimentotally/http'
 
 /** A share of a target's connections for one host, as a domain has at most ten hosts today. */
 const hostsPerDomain = 10
--- a/packages/standins/src/platform-main.ts
+++ b/packages/standins/src/platform-main.ts
@@ -1,6 +1,6 @@
 /** The stand-in platform as a process. */
 import { readFileSync } from 'node:fs'
-import type { ListedHost } from '@pimentotally/platform'
+import type { ListedHost } from '@pimentotally/storage'
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
 import { PlatformServer } from './platform-server.js'
--- a/packages/standins/src/platform-server.ts
+++ b/packages/standins/src/platform-server.ts
@@ -17,7 +17,7 @@
   type PlatformResult,
   type ScanOptions,
   type Transaction,
-} from '@pimentotally/platform'
+} from '@pimentotally/storage'
 
 export interface PlatformServerOptions {
   readonly host?: string
--- /dev/null
+++ b/packages/storage/src/audit-trail.ts
@@ -0,0 +1,214 @@
+/**
+ * The audit trail: one row for each change or refusal. Keys begin with the time, so a reverse scan lists the newest
+ * first. Entries made while the platform is down wait in a bounded queue; how many were dropped is itself recorded.
+ */
+import { randomUUID } from 'node:crypto'
+import { Result } from 'true-myth'
+import { SilentLogger, SystemClock, type Cancel, type Clock, type Logger } from '@pimentotally/core'
+import type { PlatformResult } from './result.js'
+import type { Row, TableService, Transaction } from './table.js'
+import { transactResolved } from './transact-resolved.js'
+
+export interface AuditEntry {
+  readonly who: string
+  /** What was attempted, for example `apply` or `domain.out`. */
+  readonly action: string
+  readonly subject: string
+  readonly versionBefore: number
+  readonly versionAfter: number
+  readonly outcome: string
+  readonly details: string
+}
+
+export interface RecordedAuditEntry extends AuditEntry {
+  /** Wall clock of the host that made the entry, in ISO 8601. */
+  readonly time: string
+  /** Pass as `before` to list what is older. */
+  readonly key: string
+}
+
+export interface AuditTrailOptions {
+  readonly table: TableService
+  /** Distinguishes the keys of hosts that write in the same millisecond. */
+  readonly hostId: string
+  readonly clock?: Clock
+  readonly logger?: Logger
+  readonly queueLimit?: number
+  readonly retryIntervalMs?: number
+  readonly callTimeoutMs?: number
+}
+
+/** One row and the condition that it is new, for use in a transaction of the caller. */
+export interface AuditPut {
+  readonly key: string
+  readonly value: string
+}
+
+const prefix = 'audit/'
+const maxDetailsLength = 1000
+
+export class AuditTrail {
+  readonly #table: TableService
+  readonly #hostId: string
+  readonly #clock: Clock
+  readonly #logger: Logger
+  readonly #queueLimit: number
+  readonly #retryIntervalMs: number
+  readonly #callTimeoutMs: number
+  readonly #queue: AuditPut[] = []
+  #counter = 0
+  #dropped = 0
+  #flushing: Promise<void> | undefined
+  #cancelRetry: Cancel | undefined
+  #closed = false
+
+  constructor({
+    table,
+    hostId,
+    clock = new SystemClock(),
+    logger = new SilentLogger(),
+    queueLimit = 1000,
+    retryIntervalMs = 1000,
+    callTimeoutMs = 1000,
+  }: AuditTrailOptions) {
+    this.#table = table
+    this.#hostId = hostId
+    this.#clock = clock
+    this.#logger = logger
+    this.#queueLimit = queueLimit
+    this.#retryIntervalMs = retryIntervalMs
+    this.#callTimeoutMs = callTimeoutMs
+  }
+
+  /** Entries that wait for the platform. */
+  get queued(): number {
+    return this.#queue.length
+  }
+
+  /** The row of an entry, to be put in the transaction that it describes; `id` must be new. */
+  put(entry: AuditEntry, id?: string): AuditPut {
+    const atMs = this.#clock.wallMs()
+    this.#counter += 1
+    const suffix = id ?? `${String(this.#counter).padStart(8, '0')}-${this.#hostId}`
+    const value: Omit<RecordedAuditEntry, 'key'> = {
+      ...entry,
+      details: entry.details.slice(0, maxDetailsLength),
+      time: new Date(atMs).toISOString(),
+    }
+    return {
+      key: `${prefix}${String(Math.floor(atMs)).padStart(15, '0')}/${suffix}`,
+      value: JSON.stringify(value),
+    }
+  }
+
+  /** Writes an entry alone. Resolves to `queued` while the platform does not take it; never rejects. */
+  async append(entry: AuditEntry, id?: string): Promise<'written' | 'queued' | 'dropped'> {
+    const put = this.put(entry, id)
+    if (this.#queue.length >= this.#queueLimit) {
+      this.#dropped += 1
+      this.#logger.warn('audit entry dropped', { step: 'audit.append', action: entry.action, who: entry.who })
+      return 'dropped'
+    }
+    this.#queue.push(put)
+    // While a retry is due the platform is known to be down, and the caller need not wait for another failure.
+    if (this.#cancelRetry !== undefined) return 'queued'
+    await this.flush()
+    return this.#queue.includes(put) ? 'queued' : 'written'
+  }
+
+  /** Writes what is queued, in order, until the platform fails. */
+  async flush(): Promise<void> {
+    // A flush that is already under way may have passed this entry, so it is followed by another.
+    while (this.#flushing !== undefined) await this.#flushing
+    if (this.#queue.length === 0 && this.#dropped === 0) return
+    this.#flushing = this.#drain().finally(() => (this.#flushing = undefined))
+    await this.#flushing
+  }
+
+  /** The newest entries first; `before` is the key of the last entry of the page before. */
+  async list({ limit = 100, before }: { limit?: number; before?: string } = {}): Promise<
+    PlatformResult<readonly RecordedAuditEntry[]>
+  > {
+    const rows = await this.#table.scan(prefix, {
+      limit,
+      reverse: true,
+      timeoutMs: this.#callTimeoutMs,
+      ...(before === undefined ? {} : { after: before }),
+    })
+    return rows.isErr ? Result.err(rows.error) : Result.ok(rows.value.flatMap(parseRow))
+  }
+
+  /** Ends the retries; what is still queued is lost and logged. */
+  close(): void {
+    this.#closed = true
+    this.#cancelRetry?.()
+    if (this.#queue.length > 0) {
+      this.#logger.warn('audit entries lost at stop', { step: 'audit.close', entries: this.#queue.length })
+    }
+  }
+
+  async #drain(): Promise<void> {
+    while (this.#queue.length > 0 || this.#dropped > 0) {
+      const batch = this.#queue.slice(0, 32)
+      const dropped = batch.length < 32 ? this.#dropped : 0
+      const puts =
+        dropped === 0
+          ? batch
+          : [
+              ...batch,
+              this.put({
+                who: this.#hostId,
+                action: 'audit.dropped',
+                subject: this.#hostId,
+                versionBefore: 0,
+                versionAfter: 0,
+                outcome: 'recorded',
+                details: `${String(dropped)} entries dropped`,
+              }),
+            ]
+      const transaction: Transaction = {
+        writeId: randomUUID(),
+        conditions: puts.map(({ key }) => ({ key, version: 0 })),
+        puts,
+      }
+      const written = await transactResolved(this.#table, transaction, {
+        clock: this.#clock,
+        timeoutMs: 2 * this.#callTimeoutMs,
+        callTimeoutMs: this.#callTimeoutMs,
+      })
+      // A conflict can only come from an earlier copy of one of these rows, so each is then written alone.
+      if (written.isErr && written.error.code === 'conflict') {
+        if (!(await this.#writeSingly(batch))) break
+        this.#queue.splice(0, batch.length)
+        continue
+      }
+      if (written.isErr) break
+      this.#queue.splice(0, batch.length)
+      this.#dropped -= dropped
+    }
+    this.#cancelRetry?.()
+    this.#cancelRetry = undefined
+    if ((this.#queue.length > 0 || this.#dropped > 0) && !this.#closed) {
+      this.#cancelRetry = this.#clock.schedule(this.#retryIntervalMs, () => void this.flush())
+    }
+  }
+
+  async #writeSingly(batch: readonly AuditPut[]): Promise<boolean> {
+    for (const put of batch) {
+      const written = await this.#table.transact(
+        { writeId: randomUUID(), conditions: [{ key: put.key, version: 0 }], puts: [put] },
+        { timeoutMs: this.#callTimeoutMs },
+      )
+      if (written.isErr && written.error.code !== 'conflict') return false
+    }
+    return true
+  }
+}
+
+const parseRow = ({ key, value }: Row): RecordedAuditEntry[] => {
+  try {
+    return [{ ...(JSON.parse(value) as Omit<RecordedAuditEntry, 'key'>), key }]
+  } catch {
+    return []
+  }
+}
--- /dev/null
+++ b/packages/storage/src/memory-host-list.ts
@@ -0,0 +1,62 @@
+/** The list of hosts in memory; changes become visible after a lag. */
+import { Result } from 'true-myth'
+import { SystemClock } from '@pimentotally/core'
+import { NoFaults, performWithFault, type MemoryOptions } from './fault.js'
+import { HostList, type ListedHost } from './host-list.js'
+import type { PlatformResult } from './result.js'
+import type { CallOptions } from './table.js'
+
+export interface MemoryHostListOptions extends MemoryOptions {
+  readonly hosts?: readonly ListedHost[]
+  /** Time until a change becomes visible. */
+  readonly lagMs?: number
+}
+
+export class MemoryHostList extends HostList {
+  readonly #options: Required<MemoryOptions>
+  #visible: readonly ListedHost[]
+  #pending: { readonly atMs: number; readonly hosts: readonly ListedHost[] }[] = []
+  #newest: readonly ListedHost[]
+  /** Applies to later changes. */
+  lagMs: number
+
+  constructor(options: MemoryHostListOptions = {}) {
+    super()
+    const { clock = new SystemClock(), faults = new NoFaults(), timeoutMs = 1000 } = options
+    this.#options = { clock, faults, timeoutMs }
+    this.#visible = this.#newest = options.hosts ?? []
+    this.lagMs = options.lagMs ?? 0
+  }
+
+  /** Adds the host or replaces the one with its name and kind. */
+  set(host: ListedHost): void {
+    this.replace([...this.#newest.filter((other) => !sameHost(other, host)), host])
+  }
+
+  remove(host: Pick<ListedHost, 'name' | 'kind'>): void {
+    this.replace(this.#newest.filter((other) => !sameHost(other, host)))
+  }
+
+  replace(hosts: readonly ListedHost[]): void {
+    this.#newest = hosts
+    this.#pending.push({ atMs: this.#options.clock.monotonicMs() + this.lagMs, hosts })
+  }
+
+  override list(options: CallOptions = {}): Promise<PlatformResult<readonly ListedHost[]>> {
+    return performWithFault<readonly ListedHost[]>({
+      ...this.#options,
+      ...options,
+      call: { step: 'hosts.list', kind: 'read', keys: [] },
+      perform: () => {
+        const nowMs = this.#options.clock.monotonicMs()
+        while (this.#pending[0] !== undefined && this.#pending[0].atMs <= nowMs) {
+          this.#visible = this.#pending.shift()?.hosts ?? this.#visible
+        }
+        return Result.ok(this.#visible)
+      },
+    })
+  }
+}
+
+const sameHost = (a: Pick<ListedHost, 'name' | 'kind'>, b: Pick<ListedHost, 'name' | 'kind'>): boolean =>
+  a.name === b.name && a.kind === b.kind
