Balance keys by measured speed and utilization; refuse only where others wait

Targets of one service differ in speed by 2.3 times. Change: a hot key goes to the fastest target and its neighbours move away; weights follow speed with an exponent that falls as the service fills; speeds come from all hosts and only from targets with room; a slow target with a free slot is used, a queue is refused before the objective is missed.

--- a/packages/assignment/src/balance.ts
+++ b/packages/assignment/src/balance.ts
@@ -5,7 +5,14 @@
  * few hundred neighbouring keys take a third of the requests, and others do some seconds later.
  */
 import type { KeyLoad } from './key-load.js'
-import type { AssignedRange, Assignment, KeyRange, Reassignment } from './range-map.js'
+import {
+  findRange,
+  keyCount,
+  type AssignedRange,
+  type Assignment,
+  type KeyRange,
+  type Reassignment,
+} from './range-map.js'
 
 export interface BalanceTarget {
   readonly id: string
@@ -23,12 +30,24 @@
   readonly minPiece?: number
 }
 
+/** With free slots, an uneven load costs callers less than the moves to even it out. */
+const spareTolerance = 1.8
+const fullTolerance = 1.25
+
+/** Load above the fair share, as a factor, that is left alone at a utilization of the service between 0 and 1. */
+export const imbalanceTolerance = (utilization: number): number =>
+  spareTolerance + (fullTolerance - spareTolerance) * Math.min(1, Math.max(0, utilization))
+
 interface Loaded {
   readonly target: BalanceTarget
   load: number
   keys: number
 }
 
+/** Requests within the memory of the load below which no key counts as hot. */
+const minHotLoad = 10
+/** A hot key moves only to a target that is this much faster. */
+const worthwhileGain = 1.5
 /** A piece may have this much more than the wanted load. */
 const pieceTolerance = 1.2
 
@@ -110,7 +129,7 @@
   assignment: Assignment,
   targets: readonly BalanceTarget[],
   keyLoad: KeyLoad,
-  { maxMoves = 8, tolerance = 1.3, minPiece = 0.1 }: BalanceOptions = {},
+  { maxMoves = 8, tolerance = 1.6, minPiece = 0.1 }: BalanceOptions = {},
 ): Reassignment[] => {
   const loaded = loadsOf(assignment, targets, keyLoad)
   const totalWeight = targets.reduce((sum, { weight }) => sum + weight, 0)
@@ -152,7 +171,10 @@
   return moves
 }
 
-/** The first keys of the target's heaviest range, with about the wanted load; `cursors` says what was taken before. */
+/**
+ * The piece of the target's ranges with the most load up to the wanted one; `cursors` says what was taken before. A
+ * single key above the wanted load stays where it is, as moving it would only move the overload; its neighbours move.
+ */
 const nextPiece = (
   assignment: Assignment,
   owner: string,
@@ -160,20 +182,43 @@
   keyLoad: KeyLoad,
   cursors: Map<AssignedRange, number>,
 ): KeyRange | undefined => {
-  let heaviest: { readonly range: AssignedRange; readonly rest: KeyRange; readonly load: number } | undefined
+  let best: { readonly range: AssignedRange; readonly piece: KeyRange; readonly load: number } | undefined
   for (const range of assignment.ranges) {
-    const from = cursors.get(range) ?? range.from
-    if (range.owner !== owner || range.formerOwner !== undefined || from > range.to) continue
-    const load = measure({ from, to: range.to }, keyLoad)
-    if (heaviest === undefined || load > heaviest.load)
-      heaviest = { range, rest: { from, to: range.to }, load }
+    if (range.owner !== owner || range.formerOwner !== undefined) continue
+    for (const piece of cut({ ...range, from: cursors.get(range) ?? range.from }, keyLoad, wanted)) {
+      const load = measure(piece, keyLoad)
+      if (load > wanted * pieceTolerance || (best !== undefined && load <= best.load)) continue
+      best = { range, piece, load }
+    }
+  }
+  if (best === undefined) return undefined
+  cursors.set(best.range, best.piece.to + 1)
+  return best.piece
+}
+
+/**
+ * Places a key that alone takes more than a fair share on a target that works much faster than its owner. The balance
+ * then takes the other keys from that target. Load pattern: half of all requests are about one key.
+ */
+export const placeHotKey = (
+  assignment: Assignment,
+  targets: readonly BalanceTarget[],
+  keyLoad: KeyLoad,
+): Reassignment | undefined => {
+  const totalWeight = targets.reduce((sum, { weight }) => sum + weight, 0)
+  const hottest = keyLoad.hottest()
+  const range = findRange(assignment.ranges, hottest.key)
+  const owner = targets.find(({ id }) => id === range?.owner)
+  if (range === undefined || owner === undefined || range.formerOwner !== undefined || owner.weight <= 0)
+    return undefined
+  const total = keyLoad.sum(0, keyCount - 1)
+  if (hottest.load < minHotLoad || hottest.load < (total * owner.weight) / totalWeight) return undefined
+  const fastest = targets.reduce((best, target) => (target.weight > best.weight ? target : best), owner)
+  if (fastest.weight < owner.weight * worthwhileGain) return undefined
+  return {
+    from: hottest.key,
+    to: hottest.key,
+    owner: fastest.id,
+    ownerStartedAtEpochMs: fastest.startedAtEpochMs,
   }
-  if (heaviest === undefined) return undefined
-  const { range, rest, load } = heaviest
-  const to = load <= wanted * pieceTolerance ? rest.to : keyLoad.lastWithin(rest.from, rest.to, wanted)
-  const piece = { from: rest.from, to }
-  // Moving a single key with more than the wanted load would only move the overload.
-  if (measure(piece, keyLoad) > wanted * pieceTolerance) return undefined
-  cursors.set(range, to + 1)
-  return piece
 }
--- a/packages/assignment/src/key-load.ts
+++ b/packages/assignment/src/key-load.ts
@@ -34,6 +34,19 @@
     return (this.#sums[to + 1] ?? 0) - (this.#sums[from] ?? 0)
   }
 
+  hottest(): { readonly key: number; readonly load: number } {
+    let key = 0
+    for (let other = 1; other < keyCount; other += 1) {
+      if ((this.#counts[other] ?? 0) > (this.#counts[key] ?? 0)) key = other
+    }
+    return { key, load: this.#counts[key] ?? 0 }
+  }
+
+  /** Requests a second over all keys. */
+  ratePerSecond(): number {
+    return (this.sum(0, keyCount - 1) * 1000) / memoryMs
+  }
+
   /** The last key up to which the load from `from` on stays within `load`, at most `to`. */
   lastWithin(from: number, to: number, load: number): number {
     this.#refresh()
--- a/packages/assignment/src/target-speeds.ts
+++ b/packages/assignment/src/target-speeds.ts
@@ -1,7 +1,7 @@
 /** How long work takes on each target, relative to the mean of its service, as all hosts observe it. */
 
-/** Weight of one observation; the mean of some ten responses tells a slow target from a fast one. */
-const learningRate = 0.05
+/** Weight of one observation; the mean of some tens of responses tells a slow target from a fast one. */
+const learningRate = 0.025
 /** Bounds for a factor, so that a few extreme responses do not empty a target. */
 const slowest = 4
 const fastest = 0.4
@@ -22,3 +22,19 @@
     return Math.min(slowest, Math.max(fastest, this.#factors.get(target) ?? 1))
   }
 }
+
+/** With room, work is shared as if fast targets were faster still; near the limit every target is needed. */
+const spareExponent = 2
+const fullExponent = 1
+/** Utilization up to which there is room, and from which there is none. */
+const spareUtilization = 0.5
+const fullUtilization = 0.85
+
+/**
+ * The exponent of a target's speed in its share of the work, by the service's utilization. Load pattern: a third of the
+ * targets takes more than twice as long, and half of all slots are free.
+ */
+export const speedExponent = (utilization: number): number => {
+  const filled = (utilization - spareUtilization) / (fullUtilization - spareUtilization)
+  return spareExponent + (fullExponent - spareExponent) * Math.min(1, Math.max(0, filled))
+}
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -26,6 +26,8 @@
   readonly #server: Server
   readonly #open = new Set<ServerResponse>()
   readonly #sockets = new Set<Socket>()
+  /** Closed by this side; a request that arrives on one now has not been read, as far as its caller can tell. */
+  readonly #ended = new WeakSet<Socket>()
   #draining = false
 
   constructor(options: CallerServerOptions) {
@@ -97,10 +99,18 @@
 
   #closeIdle(): void {
     const busy = new Set([...this.#open].map(({ req }) => req.socket))
-    for (const socket of this.#sockets) if (!busy.has(socket)) socket.end()
+    for (const socket of this.#sockets) {
+      if (busy.has(socket)) continue
+      this.#ended.add(socket)
+      socket.end()
+    }
   }
 
   #accept(request: IncomingMessage, response: ServerResponse): void {
+    if (this.#ended.has(request.socket)) {
+      request.socket.destroy()
+      return
+    }
     const arrivedAtMs = this.#options.clock.monotonicMs()
     this.#open.add(response)
     response.once('close', () => this.#open.delete(response))
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -58,6 +58,7 @@
   readonly #store: RowStore
   readonly #directory: Directory
   readonly #targets: TargetTable
+  readonly #dispatcher: Dispatcher
   readonly #callers: CallerServer
   readonly #leadership: Leadership
   readonly #reports: KeyReports
@@ -95,7 +96,7 @@
       keyLoad: (service) => (this.#isSharded(service) ? this.#keyLoad(service) : undefined),
       speeds: this.#speeds,
     })
-    const dispatcher = new Dispatcher({
+    this.#dispatcher = new Dispatcher({
       clock,
       logger,
       random,
@@ -111,7 +112,7 @@
         this.#reports.observeSpeed(target, factor)
       },
     })
-    this.#callers = new CallerServer({ clock, logger, directory, dispatcher })
+    this.#callers = new CallerServer({ clock, logger, directory, dispatcher: this.#dispatcher })
     this.#leadership = new Leadership({
       clock,
       logger,
@@ -312,6 +313,7 @@
         calls: this.#calls,
         keyLoad: this.#keyLoad(service),
         speeds: this.#speeds,
+        workMs: () => this.#dispatcher.workMs(service),
         tenure,
         maxHoldMs: this.#settings.bounds.maxHoldMs,
         remainingMs: () => this.#leadership.remainingMs(),
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -16,6 +16,7 @@
   isIdempotent,
   spreadRetryAfterMs,
   type PlacementCandidate,
+  type Prediction,
   type RetryBudgetOptions,
   type RouteMatch,
 } from '@pimentotally/routing'
@@ -88,6 +89,14 @@
     return budget
   }
 
+  /** Mean work time of the service's first route, for estimates of its load. */
+  workMs(service: string): number {
+    const route = this.options.directory.routes?.configuration.routes.find(({ split }) =>
+      split.some((part) => part.service === service),
+    )
+    return route === undefined ? defaultWorkMs : this.workTimes.expectedMs(route.name, defaultWorkMs)
+  }
+
   dispatch(inbound: Inbound): void {
     void new RequestRun(this, inbound).start()
   }
@@ -97,7 +106,7 @@
   readonly target: KnownTarget
   readonly exchange: TargetExchange
   readonly sentAtMs: number
-  readonly predictedMs: number
+  readonly predicted: Prediction
 }
 
 interface Refusal {
@@ -105,8 +114,10 @@
   readonly retryAfterMs: number
 }
 
+const totalMs = ({ workMs, waitMs }: Prediction): number => workMs + waitMs
+
 type Selection =
-  { readonly target: KnownTarget; readonly predictedMs: number } | { readonly refusal: Refusal }
+  { readonly target: KnownTarget; readonly predicted: Prediction } | { readonly refusal: Refusal }
 
 /** The state of one request. */
 class RequestRun {
@@ -206,8 +217,8 @@
       this.#endWithout({ reason: 'retry_budget', retryAfterMs: defaultRetryAfterMs })
       return
     }
-    this.#launch(selection.target, selection.predictedMs)
-    if (kind === 'first') this.#scheduleHedge(selection.predictedMs)
+    this.#launch(selection.target, selection.predicted)
+    if (kind === 'first') this.#scheduleHedge(totalMs(selection.predicted))
   }
 
   #spendRepeat(): boolean {
@@ -258,7 +269,7 @@
     const { service, route } = this.#inbound.match
     const nowMs = this.#nowMs()
     const awayMs = route.kind === 'download' ? downloadDistanceMs : distanceMs
-    const candidates: PlacementCandidate<KnownTarget>[] = []
+    const candidates: PlacementCandidate<{ target: KnownTarget; predicted: Prediction }>[] = []
     let coldWaitMs = Number.POSITIVE_INFINITY
     for (const target of directory.targets(service.name)) {
       if (!directory.isUsable(target) || this.#tried.has(target.id)) continue
@@ -269,10 +280,11 @@
         coldWaitMs = Math.min(coldWaitMs, waitMs)
         continue
       }
-      const predictedMs = this.#predict(target)
+      const predicted = this.#predict(target)
+      const predictedMs = totalMs(predicted)
       if (observed.isSilent(nowMs, predictedMs)) continue
       candidates.push({
-        target,
+        target: { target, predicted },
         predictedMs,
         distanceMs: target.domain === domain ? 0 : awayMs,
         failureLevel: observed.load.failureLevel(nowMs),
@@ -284,7 +296,7 @@
         ? { refusal: { reason: 'targets_cold', retryAfterMs: coldWaitMs } }
         : { refusal: { reason: 'no_target', retryAfterMs: defaultRetryAfterMs } }
     }
-    return this.#admitTo(chosen.target, chosen.predictedMs)
+    return this.#admitTo(chosen.target.target, chosen.target.predicted)
   }
 
   #coldWaitMs(target: KnownTarget): number {
@@ -302,30 +314,33 @@
     return this.#dispatcher.workTimes.expectedMs(this.#inbound.match.route.name, this.#initialWorkMs())
   }
 
-  #predict(target: KnownTarget): number {
+  #predict(target: KnownTarget): Prediction {
     const { targets } = this.#options
-    return targets.of(target.id).load.predictedMs(this.#nowMs(), {
+    const { load } = targets.of(target.id)
+    // Only the owner can take a key, so its own mean counts; elsewhere a target with old reports is worth another try.
+    const isOwner = this.#inbound.match.service.isSharded && this.#inbound.key !== undefined
+    return load.predict(this.#nowMs(), {
       workMs: this.#workMs(),
       slots: target.slots,
-      usualOccupancy: targets.usualOccupancy(target.service),
+      expectedOccupancy: isOwner ? load.usualOccupancy : targets.usualOccupancy(target.service),
     })
   }
 
-  #admitTo(target: KnownTarget, predictedMs: number): Selection {
+  #admitTo(target: KnownTarget, predicted: Prediction): Selection {
     const { route, service } = this.#inbound.match
     const admission = admit({
-      predictedMs,
+      ...predicted,
       elapsedMs: this.#elapsedMs(),
       objectiveMs: route.objectiveMs,
       leftMs: this.#leftMs(),
       rank: this.#options.directory.rank(service.name, route.priority),
     })
     return admission.admitted
-      ? { target, predictedMs }
+      ? { target, predicted }
       : { refusal: { reason: admission.reason, retryAfterMs: admission.retryAfterMs } }
   }
 
-  #launch(target: KnownTarget, predictedMs: number): void {
+  #launch(target: KnownTarget, predicted: Prediction): void {
     const { targets, clock } = this.#options
     const { request, requestId, match, body } = this.#inbound
     const observed = targets.of(target.id)
@@ -348,7 +363,7 @@
         this.#settled(attempt, result)
       },
     })
-    const attempt: Attempt = { target, exchange, sentAtMs, predictedMs }
+    const attempt: Attempt = { target, exchange, sentAtMs, predicted }
     this.#attempts.add(attempt)
     this.#tried.add(target.id)
     this.#sends += 1
@@ -367,7 +382,7 @@
   }
 
   /** What the result tells about the target. */
-  #observe({ target, sentAtMs, predictedMs }: Attempt, result: ExchangeResult): void {
+  #observe({ target, sentAtMs, predicted }: Attempt, result: ExchangeResult): void {
     const { targets, metrics } = this.#options
     const { match } = this.#inbound
     const nowMs = this.#nowMs()
@@ -400,11 +415,13 @@
     observed.load.succeeded(nowMs)
     const tookMs = nowMs - sentAtMs
     const workMs = this.#workMs()
-    // Only as much of the time as the prediction gives to work, so that waiting does not look like work.
-    const waitFactor = Math.max(1, predictedMs / Math.max(1, workMs * observed.load.slowdown(sentAtMs)))
-    const usualMs = tookMs / waitFactor / observed.load.reportedSlowdown
+    // Takes out what is not the target's own speed: waiting, and a slowdown at the beginning or the end.
+    const waitFactor = totalMs(predicted) / Math.max(1, predicted.workMs)
+    const slowdown = Math.max(predicted.slowdown, observed.load.momentarySlowdown(nowMs))
+    const usualMs = tookMs / waitFactor / slowdown
     observed.load.observed(usualMs, workMs)
-    this.#options.observeSpeed(target.id, usualMs / workMs)
+    // Targets slow down when they are nearly full, which says nothing of their speed.
+    if (observed.load.hadRoom) this.#options.observeSpeed(target.id, usualMs / workMs)
     this.#dispatcher.workTimes.record(match.route.name, usualMs, this.#initialWorkMs())
   }
 
--- a/packages/gateway/src/key-keeper.ts
+++ b/packages/gateway/src/key-keeper.ts
@@ -10,9 +10,12 @@
   completeMoves,
   encodeAssignment,
   evacuateRanges,
+  imbalanceTolerance,
   initialAssignment,
   mergeRanges,
+  placeHotKey,
   reassign,
+  speedExponent,
   type AssignedRange,
   type Assignment,
   type BalanceTarget,
@@ -53,6 +56,8 @@
   readonly calls: TargetCalls
   readonly keyLoad: KeyLoad
   readonly speeds: TargetSpeeds
+  /** Mean work time of a request to the service. */
+  readonly workMs: () => number
   readonly tenure: Tenure
   /** Longest hold that targets accept. */
   readonly maxHoldMs: number
@@ -152,8 +157,10 @@
     const nowMs = clock.monotonicMs()
     const done = [...this.#moves.values()].filter((move) => move.done)
     const moving = this.#moves.size - done.length
-    const targets = directory.targets(service).map((target) => this.#weigh(target, nowMs))
     keyLoad.decay(nowMs)
+    const utilization = this.#utilization()
+    const exponent = speedExponent(utilization)
+    const targets = directory.targets(service).map((target) => this.#weigh(target, nowMs, exponent))
     const current = completeMoves(
       assignment,
       done.map(({ range }) => range),
@@ -170,8 +177,10 @@
     const settled = nowMs >= this.#inheritedLapseMs
     if (changes.length === 0 && moving === 0 && settled && nowMs - this.#balancedAtMs > balanceEveryMs) {
       this.#balancedAtMs = nowMs
-      changes = balanceRanges(current, targets, keyLoad, { maxMoves: 8 })
-      reason = 'balance'
+      const hot = placeHotKey(current, targets, keyLoad)
+      const tolerance = imbalanceTolerance(utilization)
+      changes = hot === undefined ? balanceRanges(current, targets, keyLoad, { tolerance }) : [hot]
+      reason = hot === undefined ? 'balance' : 'hot_key'
     }
     if (changes.length === 0 && done.length === 0) return
     const next = mergeRanges(reassign(current, changes))
@@ -199,13 +208,23 @@
     })
   }
 
+  /** Share of the usable targets' slots that is busy. */
+  #utilization(): number {
+    const { directory, service, keyLoad, speeds, workMs } = this.#options
+    const capacity = directory
+      .targets(service)
+      .filter((target) => directory.isUsable(target))
+      .reduce((sum, target) => sum + target.slots / speeds.factor(target.id), 0)
+    return capacity === 0 ? 1 : (keyLoad.ratePerSecond() * workMs()) / 1000 / capacity
+  }
+
   /** A silent target keeps its keys until its grants have lapsed: nobody else could be granted them before. */
-  #weigh(target: KnownTarget, nowMs: number): BalanceTarget {
+  #weigh(target: KnownTarget, nowMs: number, exponent: number): BalanceTarget {
     const { directory, speeds } = this.#options
     const silentSinceMs = this.#silentSinceMs.get(target.id)
     const lost = silentSinceMs !== undefined && nowMs > this.#holdsOf(target.id).lapsesAtMs
     const usable = directory.isUsable(target) && !lost
-    const capacity = target.slots / speeds.factor(target.id)
+    const capacity = target.slots / speeds.factor(target.id) ** exponent
     const weight = target.coldUntilMs > nowMs ? capacity * coldWeight : capacity
     return { id: target.id, startedAtEpochMs: target.startedAtEpochMs, weight: usable ? weight : 0 }
   }
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -1,12 +1,15 @@
 /**
- * Decides whether a request is sent or refused at once. A request that would miss its objective by far holds a slot
- * that others could use in time, so it is refused while the caller can still come back. Less urgent requests are
- * refused earlier than urgent ones of the same service. Load pattern: a burst above the capacity of a service.
+ * Decides whether a request is sent or refused at once. While a target is behind, a request that would miss its
+ * objective only makes those after it miss theirs, so it is refused while the caller can still come back. A target with
+ * a free slot is used even when it is slow, as nobody waits for it. Less urgent requests are refused at shorter queues
+ * than urgent ones of the same service. Load pattern: a burst above the capacity of a service, or of one hot key.
  */
 
 export interface AdmissionInput {
-  /** Time until a response, if the request is sent now. */
-  readonly predictedMs: number
+  /** Expected time in a slot. */
+  readonly workMs: number
+  /** Expected time until a slot is free. */
+  readonly waitMs: number
   /** Since the request arrived. */
   readonly elapsedMs: number
   /** 0 for none. */
@@ -26,29 +29,42 @@
       readonly retryAfterMs: number
     }
 
-/** Predicted time, as a multiple of the objective, up to which the most urgent requests are sent. */
-const urgentLimit = 1.4
-/** The same for each less urgent rank. */
-const rankStep = 0.3
-const lowestLimit = 0.8
+/** Predicted time, as a share of the objective, up to which the most urgent requests wait for a slot. */
+const urgentShare = 0.95
+/** The same falls by this for each less urgent rank. */
+const rankStep = 0.15
+const lowestShare = 0.5
 /** Share of the time left that a prediction may use, as predictions are means. */
 const usableShare = 0.9
+/** Work times vary; with less than this share of the expected time left, hardly any request ends in time. */
+const hopelessShare = 0.4
 /** A caller that comes back sooner would find the same queue. */
 const minRetryAfterMs = 50
 
-export const admit = ({ predictedMs, elapsedMs, objectiveMs, leftMs, rank }: AdmissionInput): Admission => {
-  if (predictedMs > leftMs * usableShare) {
-    return {
-      admitted: false,
-      reason: 'deadline',
-      retryAfterMs: Math.max(minRetryAfterMs, predictedMs - leftMs * usableShare),
-    }
+const refuse = (reason: 'overloaded' | 'deadline', retryAfterMs: number): Admission => ({
+  admitted: false,
+  reason,
+  retryAfterMs: Math.max(minRetryAfterMs, retryAfterMs),
+})
+
+export const admit = ({
+  workMs,
+  waitMs,
+  elapsedMs,
+  objectiveMs,
+  leftMs,
+  rank,
+}: AdmissionInput): Admission => {
+  const predictedMs = workMs + waitMs
+  if (waitMs <= 0) {
+    return leftMs < workMs * hopelessShare ? refuse('deadline', workMs - leftMs) : { admitted: true }
   }
+  const latestMs = leftMs * usableShare
+  if (predictedMs > latestMs) return refuse('deadline', Math.min(waitMs, predictedMs - latestMs))
   if (objectiveMs <= 0) return { admitted: true }
-  const limitMs = objectiveMs * Math.max(lowestLimit, urgentLimit - rank * rankStep)
+  const limitMs = objectiveMs * Math.max(lowestShare, urgentShare - rank * rankStep)
   const excessMs = elapsedMs + predictedMs - limitMs
-  if (excessMs <= 0) return { admitted: true }
-  return { admitted: false, reason: 'overloaded', retryAfterMs: Math.max(minRetryAfterMs, excessMs) }
+  return excessMs <= 0 ? { admitted: true } : refuse('overloaded', Math.min(waitMs, excessMs))
 }
 
 /** Spreads callers that were refused together: up to half as long again. */
--- a/packages/routing/src/load.ts
+++ b/packages/routing/src/load.ts
@@ -22,6 +22,8 @@
 /** Bounds for the learned speed of a target, as a factor on the work time. */
 const slowestFactor = 20
 const fastestFactor = 0.25
+/** Weight of a new report in a target's usual occupancy. */
+const usualRate = 0.2
 /** Failures that end fast must not attract requests; after this time a failure counts for 1/e. */
 const failureMemoryMs = 1500
 
@@ -47,6 +49,7 @@
   #report: LoadReport | undefined
   #reportedAtMs = 0
   #sentSinceReport = 0
+  #usual = 0
   #speedFactor = 1
   #failures = 0
   #failedAtMs = 0
@@ -62,6 +65,8 @@
   }
 
   reported(nowMs: number, report: LoadReport): void {
+    const occupancy = report.running + report.waiting
+    this.#usual = this.#report === undefined ? occupancy : this.#usual + (occupancy - this.#usual) * usualRate
     this.#report = report
     this.#reportedAtMs = nowMs
     this.#sentSinceReport = 0
@@ -88,18 +93,28 @@
     this.#speedFactor += (ratio - this.#speedFactor) * learningRate
   }
 
-  /** Requests that run or wait at the target, by the last report and what was sent since. */
-  occupancy(nowMs: number, usual: number): number {
-    if (this.#report === undefined) return Math.max(this.inFlight, usual)
+  /** Requests that run or wait at the target; an old report gives way to `expected`. */
+  occupancy(nowMs: number, expected: number): number {
+    if (this.#report === undefined) return Math.max(this.inFlight, expected)
     const weight = decay(nowMs - this.#reportedAtMs, occupancyMemoryMs)
     const reported = this.#report.running + this.#report.waiting + this.#sentSinceReport
-    return Math.max(this.inFlight, weight * reported + (1 - weight) * usual)
+    return Math.max(this.inFlight, weight * reported + (1 - weight) * expected)
   }
 
-  /** Factor on the work time just now. */
-  slowdown(nowMs: number): number {
+  /** Mean of this target's own reports. */
+  get usualOccupancy(): number {
+    return this.#usual
+  }
+
+  /** Whether nothing waited at the target when it last reported. */
+  get hadRoom(): boolean {
+    return this.#report?.waiting === 0
+  }
+
+  /** Factor on the work time just now, beside the target's own speed. */
+  momentarySlowdown(nowMs: number): number {
     const reported = this.#report?.slowdown ?? 1
-    return this.#speedFactor * (1 + (reported - 1) * decay(nowMs - this.#reportedAtMs, slowdownMemoryMs))
+    return 1 + (reported - 1) * decay(nowMs - this.#reportedAtMs, slowdownMemoryMs)
   }
 
   /** Factor on the work time that stays, as learned from responses. */
@@ -107,20 +122,27 @@
     return this.#speedFactor
   }
 
-  get reportedSlowdown(): number {
-    return this.#report?.slowdown ?? 1
+  /** What to expect of one more request, if it is sent now. */
+  predict(nowMs: number, { workMs, slots, expectedOccupancy }: PredictionInput): Prediction {
+    const ahead = Math.max(0, this.occupancy(nowMs, expectedOccupancy) + 1 - slots)
+    const slowdown = this.momentarySlowdown(nowMs)
+    const expectedWorkMs = workMs * this.#speedFactor * slowdown
+    return { workMs: expectedWorkMs, waitMs: (expectedWorkMs * ahead) / slots, slowdown }
   }
+}
 
-  /** Time until a response, if one more request is sent now. */
-  predictedMs(nowMs: number, { workMs, slots, usualOccupancy }: PredictionInput): number {
-    const ahead = this.occupancy(nowMs, usualOccupancy) + 1 - slots
-    return workMs * this.slowdown(nowMs) * (1 + Math.max(0, ahead) / slots)
-  }
+export interface Prediction {
+  /** Time in a slot. */
+  readonly workMs: number
+  /** Time until a slot is free. */
+  readonly waitMs: number
+  /** The momentary slowdown that the prediction assumes. */
+  readonly slowdown: number
 }
 
 export interface PredictionInput {
   readonly workMs: number
   readonly slots: number
-  /** Occupancy to assume where reports are old. */
-  readonly usualOccupancy: number
+  /** Assumed where reports are old. */
+  readonly expectedOccupancy: number
 }
