--- /dev/null
+++ b/packages/assignment/src/assignment.test.ts
@@ -0,0 +1,182 @@
+/** Ranges cover all keys, fences rise, moves follow the load, and lease arithmetic is safe. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import fc from 'fast-check'
+import { balanceRanges, evacuateRanges, placeHotKey, type BalanceTarget } from './balance.js'
+import { HeldLease, ObservedLease, type LeaderRecord } from './election.js'
+import { TargetHolds } from './holds.js'
+import { KeyLoad } from './key-load.js'
+import {
+  completeMoves,
+  decodeAssignment,
+  encodeAssignment,
+  findRange,
+  initialAssignment,
+  keyCount,
+  mergeRanges,
+  reassign,
+  type Assignment,
+} from './range-map.js'
+import { TargetSpeeds, speedExponent } from './target-speeds.js'
+
+const targets = (count: number, weight = 1): BalanceTarget[] =>
+  Array.from({ length: count }, (_, index) => ({ id: `t${String(index)}`, startedAtEpochMs: 1, weight }))
+
+const assertCovers = ({ ranges }: Assignment): void => {
+  let next = 0
+  for (const { from, to } of ranges) {
+    assert.equal(from, next)
+    assert.ok(to >= from)
+    next = to + 1
+  }
+  assert.equal(next, keyCount)
+}
+
+const loadOf = (assignment: Assignment, owner: string, keyLoad: KeyLoad): number =>
+  assignment.ranges
+    .filter((range) => range.owner === owner)
+    .reduce((sum, { from, to }) => sum + keyLoad.sum(from, to), 0)
+
+test('any series of moves keeps all keys covered once, with a higher fence for each new owner', () => {
+  const change = fc.record({
+    a: fc.nat(keyCount - 1),
+    b: fc.nat(keyCount - 1),
+    target: fc.nat(5),
+    done: fc.boolean(),
+  })
+  fc.assert(
+    fc.property(fc.array(change, { maxLength: 40 }), (changes) => {
+      let assignment = initialAssignment('notes', targets(6))
+      assertCovers(assignment)
+      for (const { a, b, target, done } of changes) {
+        const [from, to] = a < b ? [a, b] : [b, a]
+        const owner = `t${String(target)}`
+        const before = assignment.lastFence
+        assignment = reassign(assignment, [{ from, to, owner, ownerStartedAtEpochMs: 1 }])
+        assertCovers(assignment)
+        for (const range of assignment.ranges) {
+          if (range.fence > before) assert.ok(range.owner === owner && range.formerOwner !== undefined)
+        }
+        if (done) assignment = mergeRanges(completeMoves(assignment, assignment.ranges))
+        assertCovers(assignment)
+        assert.deepEqual(decodeAssignment(encodeAssignment(assignment)), assignment)
+      }
+    }),
+    { seed: 1 },
+  )
+})
+
+test('text that is not a whole assignment is not taken for one', () => {
+  for (const text of ['', '{}', 'null', '{"service":"a","lastFence":1,"ranges":[[0,10,"t",1,null,null]]}']) {
+    assert.equal(decodeAssignment(text), undefined, text)
+  }
+})
+
+test('a hot neighbourhood is divided among targets, and cold keys stay', () => {
+  const keyLoad = new KeyLoad()
+  for (let key = 30_000; key < 30_200; key += 1) keyLoad.add(key, 1)
+  for (let key = 0; key < keyCount; key += 100) keyLoad.add(key, 0.2)
+  let assignment = initialAssignment('notes', targets(18))
+  const all = targets(18)
+  let keysMoved = 0
+  for (let round = 0; round < 4; round += 1) {
+    const moves = balanceRanges(assignment, all, keyLoad, { tolerance: 1.25 })
+    keysMoved += moves.reduce((sum, { from, to }) => sum + to - from + 1, 0)
+    assignment = reassign(assignment, moves)
+    assignment = mergeRanges(completeMoves(assignment, assignment.ranges))
+    assertCovers(assignment)
+  }
+  const loads = all.map(({ id }) => loadOf(assignment, id, keyLoad))
+  const mean = loads.reduce((sum, load) => sum + load, 0) / loads.length
+  assert.ok(Math.max(...loads) <= 1.5 * mean, `${String(Math.max(...loads))} against ${String(mean)}`)
+  assert.ok(keysMoved < keyCount * 0.35, `${String(keysMoved)} keys moved`)
+})
+
+test('the neighbours of a key that fills its owner move away, and the key stays', () => {
+  const keyLoad = new KeyLoad()
+  keyLoad.add(20_000, 100)
+  for (let key = 0; key < keyCount; key += 50) keyLoad.add(key, 0.1)
+  const all = targets(6)
+  let assignment = initialAssignment('notes', all)
+  const owner = findRange(assignment.ranges, 20_000)?.owner ?? ''
+  for (let round = 0; round < 6; round += 1) {
+    assignment = reassign(assignment, balanceRanges(assignment, all, keyLoad, { tolerance: 1.25 }))
+    assignment = mergeRanges(completeMoves(assignment, assignment.ranges))
+  }
+  assert.equal(findRange(assignment.ranges, 20_000)?.owner, owner)
+  const others = loadOf(assignment, owner, keyLoad) - 100
+  assert.ok(others < 8, `${String(others)} of other keys beside the hot one`)
+})
+
+test('a key that takes half of all requests goes to the fastest target, once', () => {
+  const keyLoad = new KeyLoad()
+  keyLoad.add(100, 100)
+  keyLoad.add(60_000, 80)
+  const all = targets(6).map((target, index) => ({ ...target, weight: index === 4 ? 3 : 1 }))
+  const assignment = initialAssignment('notes', targets(6))
+  const move = placeHotKey(assignment, all, keyLoad)
+  assert.deepEqual([move?.from, move?.to, move?.owner], [100, 100, 't4'])
+  const moved = reassign(assignment, move === undefined ? [] : [move])
+  assert.equal(placeHotKey(mergeRanges(completeMoves(moved, moved.ranges)), all, keyLoad), undefined)
+})
+
+test('a leaving target gives up all its keys to several others, and nothing else moves', () => {
+  const assignment = initialAssignment('notes', targets(6))
+  const left = targets(6).map((target) => (target.id === 't2' ? { ...target, weight: 0 } : target))
+  const moves = evacuateRanges(assignment, left, new KeyLoad(), 20)
+  const next = reassign(assignment, moves)
+  assertCovers(next)
+  assert.equal(
+    next.ranges.some(({ owner }) => owner === 't2'),
+    false,
+  )
+  for (const { from, to } of moves) {
+    assert.equal(findRange(assignment.ranges, from)?.owner, 't2')
+    assert.equal(findRange(assignment.ranges, to)?.owner, 't2')
+  }
+})
+
+test('a grant without an answer keeps its keys held after a release, until it would have lapsed', () => {
+  const holds = new TargetHolds(0)
+  holds.granted({ from: 0, to: 99 }, 1000, 5000, false)
+  holds.granted({ from: 0, to: 99 }, 2000, 5000, true)
+  assert.ok(holds.freeAfterReleaseMs({ from: 50, to: 60 }, 2500) >= 1000 + 5000 * 1.02)
+  assert.equal(holds.freeAfterReleaseMs({ from: 100, to: 200 }, 2500), 2500)
+  assert.ok(holds.lapsesAtMs >= 2000 + 5000 * 1.02)
+})
+
+test('a leader stops before any other host takes over, even when one of its clocks stood still', () => {
+  const times = { leaseMs: 2400, marginMs: 300 }
+  const record: LeaderRecord = { leader: 'a', peerAddress: '', term: 1, renewal: 1, released: false }
+  const held = new HeldLease(times, { monotonicMs: 0, wallMs: 1_000_000 })
+  const observed = new ObservedLease(times, 0)
+  observed.observe(record, 4)
+  // The leader's monotonic clock stands still while it is suspended.
+  const suspended = { monotonicMs: 10, wallMs: 1_000_000 + 2500 }
+  assert.ok(observed.waitMs(2500) > 0)
+  assert.ok(held.remainingMs(suspended) <= 0)
+  // A wall clock that is set back does not make the lease longer.
+  assert.ok(held.remainingMs({ monotonicMs: 2500, wallMs: 900_000 }) <= 0)
+})
+
+test('an unchanged record is not taken for a renewal', () => {
+  const observed = new ObservedLease({ leaseMs: 1000, marginMs: 100 }, 0)
+  const record: LeaderRecord = { leader: 'a', peerAddress: '', term: 1, renewal: 7, released: false }
+  observed.observe(record, 0)
+  observed.observe({ ...record }, 900)
+  assert.equal(observed.waitMs(1100), 0)
+  observed.observe({ ...record, renewal: 8 }, 1100)
+  assert.ok(observed.waitMs(1200) > 0)
+})
+
+test('speeds need many observations, and count less as the service fills', () => {
+  const speeds = new TargetSpeeds()
+  speeds.add('slow', 4, 1)
+  assert.ok(speeds.factor('slow') < 1.1)
+  for (let index = 0; index < 300; index += 1) speeds.add('slow', 2, 1)
+  assert.ok(Math.abs(speeds.factor('slow') - 2) < 0.05)
+  speeds.add('slow', Number.NaN, 1)
+  assert.ok(speeds.factor('slow') > 1.9)
+  assert.ok(speedExponent(0.3) > speedExponent(0.7))
+  assert.equal(speedExponent(1), 1)
+})
--- a/packages/assignment/src/range-map.ts
+++ b/packages/assignment/src/range-map.ts
@@ -25,6 +25,8 @@
   readonly service: string
   /** The highest fence that was ever used. */
   readonly lastFence: number
+  /** Where owners and former owners were last seen, by id, so that a new leader can reach those that are gone. */
+  readonly addresses: Readonly<Record<string, string>>
   /** In ascending order, without gaps. */
   readonly ranges: readonly AssignedRange[]
 }
@@ -79,7 +81,7 @@
     })
     from = to + 1
   })
-  return { service, lastFence: 1, ranges }
+  return { service, lastFence: 1, addresses: {}, ranges }
 }
 
 /**
@@ -125,6 +127,21 @@
   ),
 })
 
+/** Records where the present owners and former owners are, and forgets the others. */
+export const withAddresses = (
+  assignment: Assignment,
+  addressOf: (id: string) => string | undefined,
+): Assignment => {
+  const addresses: Record<string, string> = {}
+  for (const { owner, formerOwner } of assignment.ranges) {
+    for (const id of [owner, formerOwner]) {
+      const address = id === undefined ? undefined : (addressOf(id) ?? assignment.addresses[id])
+      if (id !== undefined && address !== undefined) addresses[id] = address
+    }
+  }
+  return { ...assignment, addresses }
+}
+
 /** Joins neighbours with the same owner and fence. */
 export const mergeRanges = (assignment: Assignment): Assignment => {
   const ranges: AssignedRange[] = []
@@ -156,10 +173,11 @@
 ]
 
 /** Compact JSON for one row of the store. */
-export const encodeAssignment = ({ service, lastFence, ranges }: Assignment): string =>
+export const encodeAssignment = ({ service, lastFence, addresses, ranges }: Assignment): string =>
   JSON.stringify({
     service,
     lastFence,
+    addresses,
     ranges: ranges.map(({ from, to, owner, fence, ownerStartedAtEpochMs, formerOwner }): PackedRange => [
       from,
       to,
@@ -173,9 +191,10 @@
 /** Returns undefined when the text is not an assignment that covers all keys once. */
 export const decodeAssignment = (text: string): Assignment | undefined => {
   try {
-    const { service, lastFence, ranges } = JSON.parse(text) as {
+    const { service, lastFence, addresses, ranges } = JSON.parse(text) as {
       service: string
       lastFence: number
+      addresses: Record<string, string>
       ranges: PackedRange[]
     }
     const decoded = ranges.map(([from, to, owner, fence, startedAtEpochMs, formerOwner]) => ({
@@ -190,7 +209,7 @@
       decoded.every(({ from, to }, index) => to >= from && from === (decoded[index - 1]?.to ?? -1) + 1) &&
       decoded.at(-1)?.to === keyCount - 1
     return typeof service === 'string' && Number.isInteger(lastFence) && complete
-      ? { service, lastFence, ranges: decoded }
+      ? { service, lastFence, addresses, ranges: decoded }
       : undefined
   } catch {
     return undefined
--- a/packages/gateway/src/caller-server.test.ts
+++ b/packages/gateway/src/caller-server.test.ts
@@ -1,22 +1,12 @@
 /** What callers see when the daemon stops, over real sockets. */
 import assert from 'node:assert/strict'
-import { connect, createServer, type AddressInfo } from 'node:net'
+import { connect } from 'node:net'
 import { test } from 'node:test'
 import { SilentLogger, SystemClock } from '@pimentotally/core'
 import { CallerServer } from './caller-server.js'
 import { Directory } from './directory.js'
 import type { Dispatcher, Inbound } from './dispatcher.js'
-import { configurationRow } from './testing.js'
-
-const freePort = (): Promise<number> =>
-  new Promise((resolve) => {
-    const server = createServer().listen(0, '127.0.0.1', () => {
-      const { port } = server.address() as AddressInfo
-      server.close(() => {
-        resolve(port)
-      })
-    })
-  })
+import { configurationRow, freePort } from './testing.js'
 
 const start = async (
   dispatch: (inbound: Inbound) => void,
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -1,7 +1,6 @@
 /** Composition of the gateway daemon: replicas of the store, leadership, key keepers, listeners, stop and reload. */
 import { randomUUID } from 'node:crypto'
 import { Random, type Clock, type Logger } from '@pimentotally/core'
-import { KeyLoad, TargetSpeeds } from '@pimentotally/assignment'
 import { splitAddress } from '@pimentotally/http'
 import {
   PlatformStore,
@@ -15,7 +14,7 @@
 import { ChangeLog } from './change-log.js'
 import { Directory } from './directory.js'
 import { Dispatcher } from './dispatcher.js'
-import { KeyKeeper } from './key-keeper.js'
+import { KeyControl } from './key-control.js'
 import { KeyReports, reportPath } from './key-reports.js'
 import { Leadership } from './leadership.js'
 import { GatewayMetrics } from './metrics.js'
@@ -30,17 +29,12 @@
 const registerIntervalShare = 0.45
 /** Below the shortest bound on configuration and evacuation, if a call goes silent. */
 const feedWaitMs = 2500
-const keeperTickMs = 200
 /** Allowed beyond the wait of a feed before a copy is too old to be passed on. */
 const maxRelayDelayMs = 700
 /** The load balancer takes a host out after two misses, a second apart. */
 const lameDuckMs = 2400
 /** Between the last cut and the end that the platform forces. */
 const stopMarginMs = 450
-/** A leader that reaches few targets leaves the lead to another host. */
-const maxSilentShare = 0.5
-/** Targets may restart together; another host would find them silent as well. */
-const silentForMs = 1500
 
 export interface DaemonOptions {
   readonly settings: HostSettings
@@ -63,17 +57,12 @@
   readonly #leadership: Leadership
   readonly #reports: KeyReports
   readonly #metrics = new GatewayMetrics()
-  readonly #calls = new TargetCalls()
   readonly #tables: ReadonlyMap<string, RelayedTable>
   readonly #peers: PeerServer
-  readonly #speeds = new TargetSpeeds()
-  readonly #keyLoads = new Map<string, KeyLoad>()
-  readonly #keepers = new Map<string, KeyKeeper>()
+  readonly #keys: KeyControl
   readonly #readiness: StatusServer
   readonly #metricsServer: StatusServer
   readonly #processId: string
-  #keeperTerm = 0
-  #silentSinceMs: number | undefined
   #draining = false
   #stopped = false
   #limitsVersion: number | undefined
@@ -93,8 +82,10 @@
       logger,
       directory,
       processId: this.#processId,
-      keyLoad: (service) => (this.#isSharded(service) ? this.#keyLoad(service) : undefined),
-      speeds: this.#speeds,
+      keyLoad: (service) => this.#keys.keyLoad(service),
+      addSpeed: (target, sum, count) => {
+        this.#keys.speeds.add(target, sum, count)
+      },
     })
     this.#dispatcher = new Dispatcher({
       clock,
@@ -122,6 +113,16 @@
       peerAddress: `${ip}:${String(peerPort)}`,
       turn: random.float(),
     })
+    this.#keys = new KeyControl({
+      clock,
+      logger,
+      store: this.#store,
+      directory,
+      leadership: this.#leadership,
+      calls: new TargetCalls(),
+      maxHoldMs: bounds.maxHoldMs,
+      workMs: (service) => this.#dispatcher.workMs(service),
+    })
     const relayedStore = new RelayedStore({
       store: this.#store,
       clock,
@@ -201,7 +202,7 @@
     void this.#register()
     void this.#leadership.run()
     void this.#reports.run()
-    void this.#keep()
+    void this.#keys.run()
     await this.#metricsServer.listen(ip, metricsPort)
     await this.#loadMetrics()
   }
@@ -213,7 +214,7 @@
     this.#draining = true
     this.#logger.info('daemon.stopping', { reason, inFlight: this.#callers.inFlight })
     this.#callers.startDraining()
-    for (const keeper of this.#keepers.values()) keeper.close()
+    this.#keys.stop()
     await this.#leadership.stop()
     const usedMs = this.#clock.monotonicMs() - startedMs
     await this.#clock.sleep(Math.max(0, lameDuckMs - usedMs))
@@ -242,19 +243,6 @@
     return this.#leadership.tenure === undefined ? { status: 503 } : answerRelay(table, query, this.#clock)
   }
 
-  #isSharded(service: string): boolean {
-    return this.#directory.routes?.configuration.services.get(service)?.isSharded === true
-  }
-
-  #keyLoad(service: string): KeyLoad {
-    let load = this.#keyLoads.get(service)
-    if (load === undefined) {
-      load = new KeyLoad()
-      this.#keyLoads.set(service, load)
-    }
-    return load
-  }
-
   #applyLimits(): void {
     const configuration = this.#directory.routes?.configuration
     if (configuration === undefined || configuration.version === this.#limitsVersion) return
@@ -277,70 +265,6 @@
     }
   }
 
-  async #keep(): Promise<void> {
-    while (!this.#stopped) {
-      await this.#clock.sleep(keeperTickMs)
-      const { tenure } = this.#leadership
-      if (tenure === undefined) {
-        this.#closeKeepers()
-        continue
-      }
-      if (tenure.term !== this.#keeperTerm) {
-        this.#closeKeepers()
-        // Decisions build on what is stored now, not on what the feed has delivered so far.
-        const read = await this.#store.snapshot(storeTables.own)
-        if (read.isErr) continue
-        for (const row of read.value.rows) this.#directory.applyOwnRow(row)
-        this.#keeperTerm = tenure.term
-      }
-      for (const [name, service] of this.#directory.routes?.configuration.services ?? []) {
-        if (service.isSharded) await this.#keeper(name).tick()
-      }
-      this.#checkReach()
-    }
-  }
-
-  #keeper(service: string): KeyKeeper {
-    let keeper = this.#keepers.get(service)
-    const { tenure } = this.#leadership
-    if (keeper === undefined && tenure !== undefined) {
-      keeper = new KeyKeeper({
-        service,
-        clock: this.#clock,
-        logger: this.#logger,
-        store: this.#store,
-        directory: this.#directory,
-        calls: this.#calls,
-        keyLoad: this.#keyLoad(service),
-        speeds: this.#speeds,
-        workMs: () => this.#dispatcher.workMs(service),
-        tenure,
-        maxHoldMs: this.#settings.bounds.maxHoldMs,
-        remainingMs: () => this.#leadership.remainingMs(),
-      })
-      this.#keepers.set(service, keeper)
-    }
-    if (keeper === undefined) throw new Error('no tenure')
-    return keeper
-  }
-
-  #closeKeepers(): void {
-    for (const keeper of this.#keepers.values()) keeper.close()
-    this.#keepers.clear()
-    this.#keeperTerm = 0
-  }
-
-  #checkReach(): void {
-    const silent = Math.max(0, ...[...this.#keepers.values()].map(({ silentShare }) => silentShare))
-    const nowMs = this.#clock.monotonicMs()
-    if (silent <= maxSilentShare) this.#silentSinceMs = undefined
-    else this.#silentSinceMs ??= nowMs
-    if (this.#silentSinceMs !== undefined && nowMs - this.#silentSinceMs > silentForMs) {
-      this.#silentSinceMs = undefined
-      this.#leadership.requestRelease('targets_silent')
-    }
-  }
-
   async #loadMetrics(): Promise<void> {
     const directory = this.#directory
     await this.#metrics.load([
--- /dev/null
+++ b/packages/gateway/src/directory.test.ts
@@ -0,0 +1,167 @@
+/** What a host believes, from the rows of the store. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { SilentLogger } from '@pimentotally/core'
+import { VirtualTime } from '@pimentotally/core/testing'
+import { Directory } from './directory.js'
+import { configurationRow, targetRow } from './testing.js'
+
+const address = '10.0.0.1:80'
+
+const start = (): { time: VirtualTime; directory: Directory } => {
+  const time = new VirtualTime()
+  const directory = new Directory({ clock: time.clock(), logger: new SilentLogger() })
+  directory.applyOperator({ changed: [configurationRow()], removed: [], version: 1 })
+  return { time, directory }
+}
+
+const unchanged = { changed: [], removed: [], version: 1 }
+
+test('a malformed row names no target and blinds nothing else', () => {
+  const { directory } = start()
+  const broken = { key: 'broken', version: 1, value: Buffer.from('{"address":') }
+  directory.applyRegister({
+    changed: [targetRow({ id: 'a', address }), broken, targetRow({ id: 'b', address: '10.0.0.2:80' })],
+    removed: [],
+    version: 2,
+  })
+  assert.deepEqual(
+    directory.targets('notes').map(({ id }) => id),
+    ['a', 'b'],
+  )
+  assert.equal(directory.malformedRows, 1)
+})
+
+test('an entry that becomes malformed names its target no longer', () => {
+  const { directory } = start()
+  directory.applyRegister({ changed: [targetRow({ id: 'a', address })], removed: [], version: 2 })
+  directory.applyRegister({
+    changed: [{ key: 'a', version: 3, value: Buffer.from('7') }],
+    removed: [],
+    version: 3,
+  })
+  assert.equal(directory.target('a'), undefined)
+})
+
+test('the configuration never goes back to an older version', () => {
+  const { directory } = start()
+  directory.applyOperator({
+    changed: [configurationRow({ version: 9, rowVersion: 9 })],
+    removed: [],
+    version: 9,
+  })
+  directory.applyOperator({
+    changed: [configurationRow({ version: 4, rowVersion: 10 })],
+    removed: [],
+    version: 10,
+  })
+  assert.equal(directory.routes?.configuration.version, 9)
+})
+
+test('a malformed configuration leaves the one in force', () => {
+  const { directory } = start()
+  directory.applyOperator({
+    changed: [{ key: 'config', version: 5, value: Buffer.from('{') }],
+    removed: [],
+    version: 5,
+  })
+  assert.equal(directory.routes?.configuration.version, 1)
+})
+
+test('a draining target and the targets of an evacuated domain get no new work', () => {
+  const { directory } = start()
+  directory.applyRegister({
+    changed: [
+      targetRow({ id: 'a', address, state: 'draining' }),
+      targetRow({ id: 'b', address: '10.0.0.2:80', domain: 'b' }),
+    ],
+    removed: [],
+    version: 2,
+  })
+  const usable = (): string[] =>
+    directory
+      .targets('notes')
+      .filter((target) => directory.isUsable(target))
+      .map(({ id }) => id)
+  assert.deepEqual(usable(), ['b'])
+  directory.applyOperator({
+    changed: [{ key: 'evacuate/b', version: 3, value: Buffer.from('{}') }],
+    removed: [],
+    version: 3,
+  })
+  assert.deepEqual(usable(), [])
+  directory.applyOperator({ changed: [], removed: ['evacuate/b'], version: 4 })
+  assert.deepEqual(usable(), ['b'])
+})
+
+test('targets of a domain that was taken back count as cold until they report', () => {
+  const { directory, time } = start()
+  const nowMs = time.nowMs()
+  directory.applyRegister({ changed: [targetRow({ id: 'a', address })], removed: [], version: 2 })
+  directory.applyOperator({
+    changed: [{ key: 'evacuate/a', version: 3, value: Buffer.from('{}') }],
+    removed: [],
+    version: 3,
+  })
+  directory.applyOperator({ changed: [], removed: ['evacuate/a'], version: 4 })
+  assert.ok((directory.target('a')?.coldUntilMs ?? 0) > nowMs)
+  directory.applyRegister({
+    changed: [targetRow({ id: 'a', address, sequence: 9, rowVersion: 5 })],
+    removed: [],
+    version: 5,
+  })
+  assert.equal(directory.target('a')?.coldUntilMs, 0)
+})
+
+test('entries that vanished while the store was away stay for two seconds after its return', async () => {
+  const { directory, time } = start()
+  directory.applyRegister({
+    changed: [targetRow({ id: 'a', address }), targetRow({ id: 'b', address: '10.0.0.2:80' })],
+    removed: [],
+    version: 2,
+  })
+  await time.advance(5000)
+  directory.applyRegister({ changed: [], removed: ['a', 'b'], version: 3 })
+  assert.equal(directory.targets('notes').length, 2)
+  await time.advance(1000)
+  directory.applyRegister({
+    changed: [targetRow({ id: 'a', address, rowVersion: 4 })],
+    removed: [],
+    version: 4,
+  })
+  await time.advance(1100)
+  directory.applyRegister(unchanged)
+  assert.deepEqual(
+    directory.targets('notes').map(({ id }) => id),
+    ['a'],
+  )
+})
+
+test('an entry that vanishes while the store answers is gone at once', async () => {
+  const { directory, time } = start()
+  directory.applyRegister({ changed: [targetRow({ id: 'a', address })], removed: [], version: 2 })
+  await time.advance(900)
+  directory.applyRegister({ changed: [], removed: ['a'], version: 3 })
+  assert.equal(directory.target('a'), undefined)
+})
+
+test('a process is certainly gone when it started anew, or another one runs at its address', () => {
+  const { directory } = start()
+  directory.applyRegister({ changed: [targetRow({ id: 'a', address, born: 1000 })], removed: [], version: 2 })
+  assert.equal(directory.isCertainlyGone('a', address, 1000), false)
+  directory.applyRegister({
+    changed: [targetRow({ id: 'a', address, born: 2000, rowVersion: 3 })],
+    removed: [],
+    version: 3,
+  })
+  assert.equal(directory.isCertainlyGone('a', address, 1000), true)
+  directory.applyRegister({ changed: [], removed: ['a'], version: 4 })
+  // Its entry is removed, which says nothing of the process.
+  assert.equal(directory.isCertainlyGone('a', address, 2000), false)
+  directory.applyRegister({
+    changed: [targetRow({ id: 'c', address, born: 3000, rowVersion: 5 })],
+    removed: [],
+    version: 5,
+  })
+  assert.equal(directory.isCertainlyGone('a', address, 2000), true)
+})
--- /dev/null
+++ b/packages/gateway/src/dispatcher.test.ts
@@ -0,0 +1,296 @@
+/** What callers and targets see of one request, over real sockets. */
+import assert from 'node:assert/strict'
+import {
+  createServer,
+  request as httpRequest,
+  type ClientRequest,
+  type IncomingMessage,
+  type ServerResponse,
+} from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { test, type TestContext } from 'node:test'
+import { Random, SilentLogger, SystemClock } from '@pimentotally/core'
+import { encodeAssignment, type AssignedRange } from '@pimentotally/assignment'
+import { CallerServer } from './caller-server.js'
+import { Directory } from './directory.js'
+import { Dispatcher } from './dispatcher.js'
+import { GatewayMetrics } from './metrics.js'
+import { ownKeys } from './own-rows.js'
+import { TargetTable } from './target-table.js'
+import { configurationRow, freePort, targetRow } from './testing.js'
+
+type Handler = (request: IncomingMessage, response: ServerResponse) => void
+
+interface TestTarget {
+  readonly id: string
+  readonly address: string
+  /** Request ids in the order of their arrival. */
+  readonly seen: string[]
+}
+
+const signature = { 'x-response-signature': 's' }
+
+const answer =
+  (status: number, headers: Record<string, string> = {}): Handler =>
+  (request, response) => {
+    const echo = { 'x-request-id': String(request.headers['x-request-id']) }
+    response.writeHead(status, { ...signature, ...echo, ...headers }).end('body')
+  }
+
+const reset: Handler = (request) => {
+  request.socket.resetAndDestroy()
+}
+
+const shed = answer(503, { 'x-not-executed': '1' })
+
+const startTarget = async (t: TestContext, id: string, handler: Handler): Promise<TestTarget> => {
+  const seen: string[] = []
+  const server = createServer((request, response) => {
+    seen.push(String(request.headers['x-request-id']))
+    handler(request, response)
+  })
+  t.after(() => {
+    server.close()
+    server.closeAllConnections()
+  })
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  return { id, seen, address: `127.0.0.1:${String((server.address() as AddressInfo).port)}` }
+}
+
+interface Answer {
+  readonly status: number
+  readonly headers: IncomingMessage['headers']
+  readonly body: string
+}
+
+interface CallOptions {
+  readonly method?: string
+  readonly headers?: Record<string, string>
+  readonly body?: string
+}
+
+class Gateway {
+  readonly directory: Directory
+  readonly #port: number
+  #requests = 0
+  #outgoing: ClientRequest | undefined
+
+  private constructor(directory: Directory, port: number) {
+    this.directory = directory
+    this.#port = port
+  }
+
+  static async start(
+    t: TestContext,
+    targets: readonly TestTarget[],
+    { isSharded = false } = {},
+  ): Promise<Gateway> {
+    const clock = new SystemClock()
+    const logger = new SilentLogger()
+    const random = new Random(1)
+    const directory = new Directory({ clock, logger })
+    directory.applyOperator({ changed: [configurationRow({ isSharded })], removed: [], version: 1 })
+    directory.applyRegister({
+      changed: targets.map(({ id, address }) => targetRow({ id, address })),
+      removed: [],
+      version: 2,
+    })
+    const dispatcher = new Dispatcher({
+      clock,
+      logger,
+      random,
+      directory,
+      targets: new TargetTable({ clock, logger, random, directory, hostName: 'h' }),
+      metrics: new GatewayMetrics(),
+      domain: 'a',
+      retryBudget: { ratio: 0.2, windowMs: 10_000, slack: 60 },
+      countKey: () => undefined,
+      observeSpeed: () => undefined,
+    })
+    const server = new CallerServer({ clock, logger, directory, dispatcher })
+    const port = await freePort()
+    await server.listen(`127.0.0.1:${String(port)}`)
+    t.after(() => server.finish(0))
+    return new Gateway(directory, port)
+  }
+
+  /** Assigns all keys to one target. */
+  assign(owner: string, { version, formerOwner }: { version: number; formerOwner?: string }): void {
+    const range: AssignedRange = {
+      from: 0,
+      to: 65_535,
+      owner,
+      ownerStartedAtEpochMs: 1000,
+      fence: version,
+      formerOwner,
+    }
+    this.directory.applyOwnRow({
+      key: ownKeys.assignment('notes'),
+      version,
+      value: Buffer.from(
+        encodeAssignment({ service: 'notes', lastFence: version, addresses: {}, ranges: [range] }),
+      ),
+    })
+  }
+
+  /** The caller of the last request closes its connection. */
+  hangUp(): void {
+    this.#outgoing?.destroy()
+  }
+
+  call(path: string, { method = 'GET', headers = {}, body }: CallOptions = {}): Promise<Answer> {
+    this.#requests += 1
+    const id = `r-${String(this.#requests)}`
+    return new Promise((resolve, reject) => {
+      const outgoing = httpRequest(
+        {
+          host: '127.0.0.1',
+          port: this.#port,
+          path,
+          method,
+          headers: { host: 'shop.example', 'x-request-id': id, 'x-deadline-ms': '3000', ...headers },
+        },
+        (incoming) => {
+          const chunks: Buffer[] = []
+          incoming.on('data', (chunk: Buffer) => chunks.push(chunk))
+          incoming.on('error', reject)
+          incoming.on('end', () => {
+            const text = Buffer.concat(chunks).toString()
+            resolve({ status: incoming.statusCode ?? 0, headers: incoming.headers, body: text })
+          })
+        },
+      )
+      outgoing.on('error', reject)
+      this.#outgoing = outgoing
+      outgoing.end(body)
+    })
+  }
+}
+
+test('status, body and signature of the target are passed on, with what the target needs', async (t) => {
+  let seen: IncomingMessage['headers'] = {}
+  const target = await startTarget(t, 'a', (request, response) => {
+    seen = request.headers
+    answer(404)(request, response)
+  })
+  const gateway = await Gateway.start(t, [target])
+  const result = await gateway.call('/notes/1?x=1', {
+    headers: { 'x-target-instance': 'forged', 'x-other': 'kept' },
+  })
+  assert.deepEqual([result.status, result.body, result.headers['x-response-signature']], [404, 'body', 's'])
+  assert.equal(seen['x-target-instance'], 'a')
+  assert.equal(seen['x-other'], 'kept')
+  assert.ok(Number(seen['x-deadline-ms']) <= 2000, 'no more time than the route allows')
+})
+
+test('an unsafe request that may have run is not sent again', async (t) => {
+  const targets = [await startTarget(t, 'a', reset), await startTarget(t, 'b', reset)]
+  const gateway = await Gateway.start(t, targets)
+  const { status, headers } = await gateway.call('/orders/1', { method: 'POST', body: 'x' })
+  assert.equal(status, 502)
+  assert.equal(headers['x-response-signature'], undefined)
+  assert.equal(targets.flatMap(({ seen }) => seen).length, 1)
+})
+
+test('an unsafe request that a target has not executed goes to another one', async (t) => {
+  const targets = [await startTarget(t, 'a', shed), await startTarget(t, 'b', shed)]
+  const gateway = await Gateway.start(t, targets)
+  const { status, headers } = await gateway.call('/orders/1', { method: 'POST', body: 'x' })
+  assert.equal(status, 503, 'both refused, so it has certainly not run')
+  assert.ok(Number(headers['retry-after']) > 0)
+  assert.deepEqual(
+    targets.map(({ seen }) => seen.length),
+    [1, 1],
+  )
+})
+
+test('a refusal of a target that does not say that nothing ran is no refusal towards the caller', async (t) => {
+  for (const status of [503, 429, 408]) {
+    const target = await startTarget(t, 'a', answer(status))
+    const gateway = await Gateway.start(t, [target])
+    assert.equal((await gateway.call('/orders/1', { method: 'POST', body: 'x' })).status, 502)
+  }
+})
+
+test('a safe request is repeated at another target after a reset or a failure', async (t) => {
+  for (const failing of [reset, answer(500)]) {
+    const targets = [await startTarget(t, 'a', failing), await startTarget(t, 'b', answer(200))]
+    const gateway = await Gateway.start(t, targets)
+    for (let index = 0; index < 6; index += 1) assert.equal((await gateway.call('/notes/1')).status, 200)
+  }
+})
+
+test('a failure of the target is passed on when no other target is left', async (t) => {
+  const target = await startTarget(t, 'a', answer(500))
+  const gateway = await Gateway.start(t, [target])
+  const { status, headers } = await gateway.call('/notes/1')
+  assert.deepEqual([status, headers['x-response-signature']], [500, 's'])
+})
+
+test('an answer to another request reaches nobody', async (t) => {
+  const target = await startTarget(t, 'a', (_request, response) => {
+    response.writeHead(200, { ...signature, 'x-request-id': 'r-0' }).end('not yours')
+  })
+  const gateway = await Gateway.start(t, [target])
+  assert.equal((await gateway.call('/orders/1', { method: 'POST', body: 'x' })).status, 502)
+})
+
+test('a request without an answer ends at its deadline, as one whose outcome is not known', async (t) => {
+  const target = await startTarget(t, 'a', () => undefined)
+  const gateway = await Gateway.start(t, [target])
+  const { status } = await gateway.call('/orders/1', {
+    method: 'POST',
+    body: 'x',
+    headers: { 'x-deadline-ms': '200' },
+  })
+  assert.equal(status, 504)
+})
+
+test('a target whose caller has left learns it from its connection', async (t) => {
+  let closed: () => void
+  const left = new Promise<void>((resolve) => (closed = resolve))
+  let arrived: () => void
+  const arrival = new Promise<void>((resolve) => (arrived = resolve))
+  const target = await startTarget(t, 'a', (request) => {
+    request.socket.once('close', () => {
+      closed()
+    })
+    arrived()
+  })
+  const gateway = await Gateway.start(t, [target])
+  const outgoing = gateway.call('/notes/1').catch(() => undefined)
+  await arrival
+  gateway.hangUp()
+  await left
+  await outgoing
+})
+
+test('no target: refused at once with the time to come back', async (t) => {
+  const gateway = await Gateway.start(t, [])
+  const { status, headers } = await gateway.call('/notes/1')
+  assert.equal(status, 503)
+  assert.ok(Number(headers['retry-after']) > 0)
+})
+
+test('a path without a route is not found', async (t) => {
+  const gateway = await Gateway.start(t, [])
+  assert.equal((await gateway.call('/other/1')).status, 404)
+})
+
+test('a request with a key goes to its owner alone', async (t) => {
+  const targets = [await startTarget(t, 'a', answer(200)), await startTarget(t, 'b', answer(200))]
+  const gateway = await Gateway.start(t, targets, { isSharded: true })
+  const keyed = { headers: { 'x-shard-key': '7' } }
+  assert.equal((await gateway.call('/notes/1', keyed)).status, 503, 'no owner yet')
+  gateway.assign('a', { version: 1 })
+  for (let index = 0; index < 5; index += 1) assert.equal((await gateway.call('/notes/1', keyed)).status, 200)
+  gateway.assign('b', { version: 2, formerOwner: 'a' })
+  assert.equal((await gateway.call('/notes/1', keyed)).status, 503, 'refused while the key moves')
+  const waiting = gateway.call('/notes/1', keyed)
+  gateway.assign('b', { version: 3 })
+  assert.equal((await waiting).status, 200)
+  assert.deepEqual(
+    targets.map(({ seen }) => seen.length),
+    [5, 1],
+  )
+})
--- /dev/null
+++ b/packages/gateway/src/key-control.ts
@@ -0,0 +1,126 @@
+/** The leader's work on all services that are divided by key, for as long as this host leads. */
+import { KeyLoad, TargetSpeeds, type TargetControl } from '@pimentotally/assignment'
+import type { Clock, Logger } from '@pimentotally/core'
+import { storeTables } from '@pimentotally/platform'
+import type { RowStore } from '@pimentotally/storage'
+import type { Directory } from './directory.js'
+import { KeyKeeper } from './key-keeper.js'
+import type { Leadership, Tenure } from './leadership.js'
+
+const tickMs = 200
+/** A leader that reaches fewer targets leaves the lead to another host. */
+const maxSilentShare = 0.5
+/** Targets may restart together; another host would find them silent as well. */
+const silentForMs = 1500
+
+export interface KeyControlOptions {
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly store: RowStore
+  readonly directory: Directory
+  readonly leadership: Leadership
+  readonly calls: TargetControl
+  /** Longest hold that targets accept. */
+  readonly maxHoldMs: number
+  /** Mean work time of a request to a service. */
+  readonly workMs: (service: string) => number
+}
+
+export class KeyControl {
+  readonly speeds = new TargetSpeeds()
+  readonly #options: KeyControlOptions
+  readonly #keyLoads = new Map<string, KeyLoad>()
+  readonly #keepers = new Map<string, KeyKeeper>()
+  #term = 0
+  #silentSinceMs: number | undefined
+  #stopped = false
+
+  constructor(options: KeyControlOptions) {
+    this.#options = options
+  }
+
+  /** Where requests by key are counted; undefined for a service that is not divided by key. */
+  keyLoad(service: string): KeyLoad | undefined {
+    const { routes } = this.#options.directory
+    if (routes?.configuration.services.get(service)?.isSharded !== true) return undefined
+    let load = this.#keyLoads.get(service)
+    if (load === undefined) {
+      load = new KeyLoad()
+      this.#keyLoads.set(service, load)
+    }
+    return load
+  }
+
+  async run(): Promise<void> {
+    while (!this.#stopped) {
+      await this.#options.clock.sleep(tickMs)
+      const { tenure } = this.#options.leadership
+      if (tenure === undefined) this.#closeKeepers()
+      else await this.#tick(tenure)
+    }
+  }
+
+  /** No grant is sent after this call. */
+  stop(): void {
+    this.#stopped = true
+    this.#closeKeepers()
+  }
+
+  async #tick(tenure: Tenure): Promise<void> {
+    if (tenure.term !== this.#term && !(await this.#begin(tenure))) return
+    for (const [service] of this.#options.directory.routes?.configuration.services ?? []) {
+      const keyLoad = this.keyLoad(service)
+      if (keyLoad !== undefined) await this.#keeper(service, keyLoad, tenure).tick()
+    }
+    this.#checkReach()
+  }
+
+  /** Decisions build on what is stored now, not on what the feed has delivered so far. */
+  async #begin(tenure: Tenure): Promise<boolean> {
+    const { store, directory, logger } = this.#options
+    this.#closeKeepers()
+    const read = await store.snapshot(storeTables.own)
+    if (read.isErr) {
+      logger.warn('keys.read_failed', { term: tenure.term, ...read.error })
+      return false
+    }
+    for (const row of read.value.rows) directory.applyOwnRow(row)
+    this.#term = tenure.term
+    return !this.#stopped
+  }
+
+  #keeper(service: string, keyLoad: KeyLoad, tenure: Tenure): KeyKeeper {
+    const { workMs, leadership, ...options } = this.#options
+    let keeper = this.#keepers.get(service)
+    if (keeper === undefined) {
+      keeper = new KeyKeeper({
+        ...options,
+        service,
+        keyLoad,
+        speeds: this.speeds,
+        tenure,
+        workMs: () => workMs(service),
+        remainingMs: () => leadership.remainingMs(),
+      })
+      this.#keepers.set(service, keeper)
+    }
+    return keeper
+  }
+
+  #closeKeepers(): void {
+    for (const keeper of this.#keepers.values()) keeper.close()
+    this.#keepers.clear()
+    this.#term = 0
+  }
+
+  #checkReach(): void {
+    const { clock, leadership } = this.#options
+    const silent = Math.max(0, ...[...this.#keepers.values()].map(({ silentShare }) => silentShare))
+    const nowMs = clock.monotonicMs()
+    if (silent <= maxSilentShare) this.#silentSinceMs = undefined
+    else this.#silentSinceMs ??= nowMs
+    if (this.#silentSinceMs === undefined || nowMs - this.#silentSinceMs <= silentForMs) return
+    this.#silentSinceMs = undefined
+    leadership.requestRelease('targets_silent')
+  }
+}
--- a/packages/gateway/src/key-keeper.ts
+++ b/packages/gateway/src/key-keeper.ts
@@ -5,6 +5,7 @@
  */
 import type { Clock, Logger } from '@pimentotally/core'
 import {
+  GrantOutcome,
   TargetHolds,
   balanceRanges,
   completeMoves,
@@ -16,14 +17,16 @@
   placeHotKey,
   reassign,
   speedExponent,
+  withAddresses,
   type AssignedRange,
   type Assignment,
   type BalanceTarget,
   type KeyLoad,
   type Reassignment,
+  type TargetControl,
   type TargetSpeeds,
 } from '@pimentotally/assignment'
-import { GrantOutcome, storeTables, type TargetCalls } from '@pimentotally/platform'
+import { storeTables } from '@pimentotally/platform'
 import type { RowStore } from '@pimentotally/storage'
 import type { Directory, KnownTarget } from './directory.js'
 import type { Tenure } from './leadership.js'
@@ -32,10 +35,11 @@
 /** Outlasts the loss of the leader: its lease, the takeover and the first renewals. */
 export const grantHoldMs = 5500
 const renewEveryMs = 1000
-const grantTimeoutMs = 500
+const grantTimeoutMs = 900
 /** A release is answered when the work on its keys has ended. */
 const releaseTimeoutMs = 1600
 const regrantPauseMs = 200
+const probeTimeoutMs = 700
 const balanceEveryMs = 700
 /** Targets register within this time of the first one. */
 const gatheringMs = 1500
@@ -53,7 +57,7 @@
   readonly logger: Logger
   readonly store: RowStore
   readonly directory: Directory
-  readonly calls: TargetCalls
+  readonly calls: TargetControl
   readonly keyLoad: KeyLoad
   readonly speeds: TargetSpeeds
   /** Mean work time of a request to the service. */
@@ -229,8 +233,12 @@
     return { id: target.id, startedAtEpochMs: target.startedAtEpochMs, weight: usable ? weight : 0 }
   }
 
-  async #commit(next: Assignment, reason: string): Promise<boolean> {
+  async #commit(decided: Assignment, reason: string): Promise<boolean> {
     const { store, directory, service, logger } = this.#options
+    const next = withAddresses(
+      decided,
+      (id) => this.#addresses.get(id)?.address ?? directory.target(id)?.address,
+    )
     const key = ownKeys.assignment(service)
     const row = { table: storeTables.own, key }
     const value = Buffer.from(encodeAssignment(next))
@@ -319,7 +327,7 @@
     formerOwner: string,
   ): Promise<{ readonly atMs: number; readonly handover: string | undefined } | undefined> {
     const { clock, directory, calls, logger, service, tenure } = this.#options
-    const known = this.#addresses.get(formerOwner)
+    const known = this.#addressOf(formerOwner)
     const holds = this.#holdsOf(formerOwner)
     const settledMs = tenure.predecessor === 'lapsed' ? this.#inheritedLapseMs : 0
     for (let attempt = 0; ; attempt += 1) {
@@ -359,6 +367,16 @@
     }
   }
 
+  /** Of a target that is gone, the address that was stored with its keys. */
+  #addressOf(
+    id: string,
+  ): { readonly address: string; readonly startedAtEpochMs: number | undefined } | undefined {
+    const seen = this.#addresses.get(id)
+    if (seen !== undefined) return seen
+    const address = this.#assignment?.addresses[id]
+    return address === undefined ? undefined : { address, startedAtEpochMs: undefined }
+  }
+
   #renew(): void {
     const nowMs = this.#options.clock.monotonicMs()
     const extend = this.#options.remainingMs() < extendBelowMs
@@ -385,10 +403,26 @@
       // Keys of a leaving target move; renewing them meanwhile keeps them served.
       this.#renewedAtMs.set(id, nowMs)
       this.#renewing.add(id)
-      void this.#renewTarget(target, ranges, extend ? this.#options.maxHoldMs : grantHoldMs)
+      const holdMs = extend ? this.#options.maxHoldMs : grantHoldMs
+      void (this.#silentSinceMs.has(id) ? this.#probe(target) : this.#renewTarget(target, ranges, holdMs))
     }
   }
 
+  /**
+   * A grant without an answer may have arrived, and its keys are not free before it lapses. A silent target therefore
+   * gets no more grants until it has answered something else.
+   */
+  async #probe(target: KnownTarget): Promise<void> {
+    const { calls, service, logger, directory } = this.#options
+    const path = directory.routes?.configuration.services.get(service)?.healthPath ?? '/'
+    if (await calls.probe(target, path, probeTimeoutMs)) {
+      this.#silentSinceMs.delete(target.id)
+      this.#renewedAtMs.delete(target.id)
+      logger.info('target.answers', { target: target.id, service })
+    }
+    this.#renewing.delete(target.id)
+  }
+
   async #renewTarget(target: KnownTarget, ranges: readonly AssignedRange[], holdMs: number): Promise<void> {
     for (const range of ranges) {
       if (!this.#mayGrant() || !this.#stillOwns(range)) continue
@@ -429,7 +463,7 @@
       if (!notSent) holds.granted(range, nowMs, holdMs, outcome !== undefined)
     }
     if (outcome === GrantOutcome.granted) {
-      if (this.#silentSinceMs.delete(target.id)) logger.info('target.answers', { target: target.id, service })
+      this.#silentSinceMs.delete(target.id)
       return true
     }
     if (result.isErr && !this.#silentSinceMs.has(target.id)) {
--- a/packages/gateway/src/key-reports.ts
+++ b/packages/gateway/src/key-reports.ts
@@ -1,7 +1,7 @@
 /** Counts requests by key and reports them to the leader, which balances by them. */
 import type { Clock, Logger } from '@pimentotally/core'
 import { HttpCaller } from '@pimentotally/http'
-import type { KeyLoad, TargetSpeeds } from '@pimentotally/assignment'
+import type { KeyLoad } from '@pimentotally/assignment'
 import type { Directory } from './directory.js'
 import type { PeerAnswer } from './peer-server.js'
 
@@ -16,7 +16,8 @@
   readonly processId: string
   /** Where reports of other hosts are counted; undefined for a service that is not divided by key. */
   readonly keyLoad: (service: string) => KeyLoad | undefined
-  readonly speeds: TargetSpeeds
+  /** Takes the sum of so many observed factors on a target's work time. */
+  readonly addSpeed: (target: string, sum: number, count: number) => void
 }
 
 type Pairs<Name> = readonly (readonly [name: Name, value: number])[]
@@ -125,6 +126,6 @@
       const keyLoad = this.#options.keyLoad(service)
       if (keyLoad !== undefined) for (const [key, requests] of pairs) keyLoad.add(key, requests)
     }
-    for (const [target, [sum, count]] of Object.entries(speeds)) this.#options.speeds.add(target, sum, count)
+    for (const [target, [sum, count]] of Object.entries(speeds)) this.#options.addSpeed(target, sum, count)
   }
 }
--- /dev/null
+++ b/packages/gateway/src/ownership.test.ts
@@ -0,0 +1,262 @@
+/**
+ * Ownership of keys under faults, in virtual time. Guards against two targets that hold one key, fences that do not
+ * rise, and keys that stay without an owner. A failing run prints its seed and faults.
+ */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import fc from 'fast-check'
+import { storeTables } from '@pimentotally/platform'
+import { OwnershipWorld } from './testing-world.js'
+
+/** All targets hold their keys from here on. */
+const settledMs = 6000
+
+const settle = async (seed: number, targets = 6): Promise<OwnershipWorld> => {
+  const world = new OwnershipWorld({ seed, targets })
+  await world.advance(settledMs)
+  assert.deepEqual(world.unheld(), [], 'keys without an owner after the start')
+  return world
+}
+
+const assertOwned = (world: OwnershipWorld): void => {
+  assert.deepEqual(world.violations, [])
+  assert.deepEqual(world.unheld(), [], 'keys without an owner')
+}
+
+test('each key has one owner after the start', async () => {
+  assertOwned(await settle(1))
+})
+
+test('keys stay held while the store is down for nine seconds', async () => {
+  const world = await settle(2)
+  world.store.isDown = true
+  await world.advance(9000)
+  assertOwned(world)
+  world.store.isDown = false
+  await world.advance(4000)
+  assertOwned(world)
+})
+
+test('keys stay held when the leader is lost', async () => {
+  const world = await settle(3)
+  world.leader()?.kill()
+  await world.advance(4000)
+  assertOwned(world)
+  assert.ok(world.leader() !== undefined)
+})
+
+test('a silent target keeps its keys until its grants have lapsed, then others have them', async () => {
+  const world = await settle(4)
+  const [target] = world.targets
+  assert.ok(target)
+  target.isSilent = true
+  await world.advance(9000)
+  assertOwned(world)
+  assert.equal(
+    target.holds.some(({ untilMs }) => untilMs > world.time.nowMs()),
+    false,
+  )
+})
+
+test('a target that starts again under its old id gets its keys with a higher fence', async () => {
+  const world = await settle(5)
+  const [target] = world.targets
+  assert.ok(target)
+  const before = Math.max(...target.holds.map(({ fence }) => fence))
+  world.restart(target, target.id)
+  await world.advance(3000)
+  assertOwned(world)
+  assert.ok(target.holds.every(({ fence }) => fence > before))
+})
+
+test('the keys of a draining target move before it ends', async () => {
+  const world = await settle(6)
+  const [target] = world.targets
+  assert.ok(target)
+  world.drain(target)
+  await world.advance(2000)
+  assertOwned(world)
+  assert.equal(target.holdsKey(target.holds[0]?.from ?? 0, world.time.nowMs()), false)
+})
+
+test('all hosts restart: the same targets get the same keys', async () => {
+  const world = await settle(7)
+  const stored = (): string =>
+    world.store
+      .rows(storeTables.own)
+      .find(({ key }) => key.startsWith('assignment/'))
+      ?.value.toString() ?? ''
+  const before = stored()
+  world.restartHosts()
+  await world.advance(4500)
+  assert.equal(stored(), before)
+  assertOwned(world)
+})
+
+type FaultKind =
+  | 'killLeader'
+  | 'pauseLeader'
+  | 'pauseHost'
+  | 'storeDown'
+  | 'leaderRefused'
+  | 'writesLost'
+  | 'ordersLate'
+  | 'silent'
+  | 'restartSameId'
+  | 'restartNewId'
+  | 'crash'
+  | 'drain'
+  | 'vanish'
+
+interface Fault {
+  readonly kind: FaultKind
+  readonly atMs: number
+  readonly forMs: number
+  readonly index: number
+}
+
+const kinds: readonly FaultKind[] = [
+  'killLeader',
+  'pauseLeader',
+  'pauseHost',
+  'storeDown',
+  'leaderRefused',
+  'writesLost',
+  'ordersLate',
+  'silent',
+  'restartSameId',
+  'restartNewId',
+  'crash',
+  'drain',
+  'vanish',
+]
+
+const faultArbitrary = fc.record({
+  kind: fc.constantFrom(...kinds),
+  atMs: fc.integer({ min: 0, max: 8000 }),
+  forMs: fc.integer({ min: 100, max: 9000 }),
+  index: fc.nat(5),
+})
+
+const inject = (world: OwnershipWorld, { kind, atMs, forMs, index }: Fault): void => {
+  const target = world.targets[index % world.targets.length]
+  const host = world.hosts[index % world.hosts.length]
+  if (target === undefined || host === undefined) return
+  const from = (start: () => (() => void) | undefined): void => {
+    world.time.schedule(atMs, () => {
+      const end = start()
+      if (end !== undefined) world.time.schedule(forMs, end)
+    })
+  }
+  const alive = world.hosts.filter(({ isStopped }) => !isStopped)
+  const pause = (victim: (typeof world.hosts)[number] | undefined): (() => void) | undefined => {
+    if (victim === undefined || victim.isStopped) return undefined
+    victim.clock.pause()
+    return () => {
+      victim.resume(world.time.nowMs())
+    }
+  }
+  switch (kind) {
+    case 'killLeader':
+      from(() => {
+        if (alive.filter(({ isStopped }) => !isStopped).length > 1) world.leader()?.kill()
+        return undefined
+      })
+      return
+    case 'pauseLeader':
+      from(() => pause(world.leader()))
+      return
+    case 'pauseHost':
+      from(() => pause(host))
+      return
+    case 'storeDown':
+      from(() => {
+        world.store.isDown = true
+        return () => (world.store.isDown = false)
+      })
+      return
+    case 'leaderRefused':
+      from(() => {
+        const victim = world.leader()
+        if (victim === undefined) return undefined
+        victim.store.isRefused = true
+        return () => (victim.store.isRefused = false)
+      })
+      return
+    case 'writesLost':
+      from(() => {
+        for (const { store } of world.hosts) store.lossShare = 0.4
+        return () => {
+          for (const { store } of world.hosts) store.lossShare = 0
+        }
+      })
+      return
+    case 'ordersLate':
+      from(() => {
+        for (const each of world.targets) each.lateShare = 0.4
+        return () => {
+          for (const each of world.targets) each.lateShare = 0
+        }
+      })
+      return
+    case 'silent':
+      from(() => {
+        target.isSilent = true
+        return () => (target.isSilent = false)
+      })
+      return
+    case 'restartSameId':
+      from(() => {
+        world.restart(target, target.id)
+        return undefined
+      })
+      return
+    case 'restartNewId':
+      from(() => {
+        world.restart(target, `${target.id}'`)
+        return undefined
+      })
+      return
+    case 'crash':
+      from(() => {
+        target.isUp = false
+        world.vanish(target)
+        return () => {
+          world.restart(target, `${target.id}"`)
+        }
+      })
+      return
+    case 'drain':
+      from(() => {
+        world.drain(target)
+        return () => {
+          world.restart(target, `${target.id}+`)
+        }
+      })
+      return
+    case 'vanish':
+      from(() => {
+        world.vanish(target)
+        return () => {
+          world.restart(target, `${target.id}-`)
+        }
+      })
+  }
+}
+
+test('random faults together: one owner for each key, rising fences, and owners again after all healed', async () => {
+  await fc.assert(
+    fc.asyncProperty(
+      fc.nat(1e6),
+      fc.array(faultArbitrary, { minLength: 1, maxLength: 4 }),
+      async (seed, faults) => {
+        const world = await settle(seed, 5)
+        for (const fault of faults) inject(world, fault)
+        const lastMs = Math.max(...faults.map(({ atMs, forMs }) => atMs + forMs))
+        await world.advance(lastMs + 16_000)
+        assertOwned(world)
+      },
+    ),
+    { seed: 5, numRuns: 60 },
+  )
+})
--- /dev/null
+++ b/packages/gateway/src/replica.test.ts
@@ -0,0 +1,117 @@
+/** Copies of the store's tables, directly and through the leader. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { Random, SilentLogger } from '@pimentotally/core'
+import { VirtualTime } from '@pimentotally/core/testing'
+import { ChangeLog } from './change-log.js'
+import { answerRelay, type RelayedTable } from './relay.js'
+import { Replica } from './replica.js'
+import { StoreView, WorldStore } from './testing-world.js'
+
+const table = 'servers'
+
+interface Followed {
+  readonly time: VirtualTime
+  readonly store: WorldStore
+  readonly view: StoreView
+  readonly replica: Replica
+  readonly log: ChangeLog
+  readonly removed: string[]
+  readonly relayed: RelayedTable
+}
+
+const follow = (): Followed => {
+  const time = new VirtualTime()
+  const store = new WorldStore(time)
+  const view = new StoreView(store, new Random(1))
+  const removed: string[] = []
+  const log = new ChangeLog()
+  const replica = new Replica({
+    store: view,
+    table,
+    clock: time.clock(),
+    logger: new SilentLogger(),
+    waitMs: 500,
+    listener: {
+      confirmed: (change) => {
+        removed.push(...change.removed)
+        log.record(change)
+      },
+    },
+  })
+  void replica.run()
+  return { time, store, view, replica, log, removed, relayed: { log, replica, maxAgeMs: 1500 } }
+}
+
+test('a row that vanished while the history was lost is noticed', async () => {
+  const { time, store, replica, removed, view } = follow()
+  store.write(table, 'a', Buffer.from('1'))
+  store.write(table, 'b', Buffer.from('1'))
+  await time.advance(1000)
+  view.isRefused = true
+  await time.advance(100)
+  store.remove(table, 'a')
+  store.forgetHistory()
+  view.isRefused = false
+  await time.advance(2000)
+  assert.deepEqual(removed, ['a'])
+  assert.deepEqual([...replica.rows.keys()], ['b'])
+})
+
+test('a copy knows its age and whether the store answers', async () => {
+  const { time, replica, view } = follow()
+  assert.equal(replica.ageMs(), undefined)
+  await time.advance(1000)
+  assert.ok((replica.ageMs() ?? Infinity) < 600)
+  view.isRefused = true
+  await time.advance(3000)
+  assert.equal(replica.isFailing, true)
+  assert.ok((replica.ageMs() ?? 0) > 2000)
+})
+
+const ask = async (
+  { relayed, time }: Followed,
+  after: number,
+  waitMs = 0,
+): Promise<{ status: number; keys: string[] }> => {
+  const query = new URLSearchParams({ after: String(after), waitMs: String(waitMs) })
+  const pending = answerRelay(relayed, query, time.clock())
+  await time.advance(waitMs + 10)
+  const { status, body = '{"rows":[]}' } = await pending
+  const { rows } = JSON.parse(body) as { rows: { key: string }[] }
+  return { status, keys: rows.map(({ key }) => key) }
+}
+
+test('followers get changes since their version, and a lost history as such', async () => {
+  const followed = follow()
+  const { store, time, log } = followed
+  store.write(table, 'a', Buffer.from('1'))
+  await time.advance(600)
+  const first = log.version
+  store.write(table, 'b', Buffer.from('1'))
+  await time.advance(600)
+  assert.deepEqual(await ask(followed, first), { status: 200, keys: ['b'] })
+  assert.equal((await ask(followed, first - 1)).status, 410)
+})
+
+test('a leader that has lost the store says so instead of passing on an old copy', async () => {
+  const followed = follow()
+  await followed.time.advance(600)
+  followed.view.isRefused = true
+  await followed.time.advance(1000)
+  assert.equal((await ask(followed, followed.log.version)).status, 503)
+})
+
+test('rows that change in nothing that others need wake no follower', () => {
+  const log = new ChangeLog({ isRelevant: (row, previous) => !previous?.value.equals(row.value) })
+  const row = (version: number, text: string) => ({ key: 'a', version, value: Buffer.from(text) })
+  let woken = 0
+  log.record({ changed: [row(1, 'x')], removed: [], version: 1 })
+  log.onChange(() => (woken += 1))
+  log.record({ changed: [row(2, 'x')], removed: [], version: 2 })
+  assert.equal(woken, 0)
+  assert.deepEqual(log.since(1), [])
+  log.record({ changed: [row(3, 'y')], removed: [], version: 3 })
+  assert.equal(woken, 1)
+  assert.equal(log.since(1)?.length, 1)
+})
--- a/packages/gateway/src/testing.ts
+++ b/packages/gateway/src/testing.ts
@@ -1,4 +1,5 @@
 /** Rows and fakes that the tests of this package share. */
+import { createServer, type AddressInfo } from 'node:net'
 import type { StoredRow } from '@pimentotally/storage'
 
 export interface ConfigurationRowOptions {
@@ -99,3 +100,14 @@
     }),
   ),
 })
+
+/** A port of the loopback address that is free just now. */
+export const freePort = (): Promise<number> =>
+  new Promise((resolve) => {
+    const server = createServer().listen(0, '127.0.0.1', () => {
+      const { port } = server.address() as AddressInfo
+      server.close(() => {
+        resolve(port)
+      })
+    })
+  })
--- /dev/null
+++ b/packages/routing/src/overload.test.ts
@@ -0,0 +1,124 @@
+/** Replays of the worst loads against the decisions: admission, placement and hedging. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { Random } from '@pimentotally/core'
+import { admit, spreadRetryAfterMs } from './admission.js'
+import { hedgeDelayMs } from './hedging.js'
+import { TargetLoad } from './load.js'
+import { chooseTarget } from './placement.js'
+
+const objectiveMs = 500
+const workMs = 100
+const slots = 6
+
+interface Outcome {
+  inTime: number
+  late: number
+  refused: number
+}
+
+/**
+ * One hot key at twice the capacity of its owner: requests arrive evenly, the owner works in slots, and the queue is
+ * known exactly. `decide` says whether a request is sent.
+ */
+const replayHotKey = (decide: (waitMs: number) => boolean): Outcome => {
+  const outcome: Outcome = { inTime: 0, late: 0, refused: 0 }
+  const freeAtMs = Array.from({ length: slots }, () => 0)
+  for (let nowMs = 0; nowMs < 5000; nowMs += workMs / slots / 2) {
+    const slot = freeAtMs.indexOf(Math.min(...freeAtMs))
+    const waitMs = Math.max(0, (freeAtMs[slot] ?? 0) - nowMs)
+    if (!decide(waitMs)) {
+      outcome.refused += 1
+      continue
+    }
+    freeAtMs[slot] = nowMs + waitMs + workMs
+    if (waitMs + workMs <= objectiveMs) outcome.inTime += 1
+    else outcome.late += 1
+  }
+  return outcome
+}
+
+test('a hot key at twice its owner’s capacity: what is sent is answered in time, and the owner stays busy', () => {
+  const all = replayHotKey(() => true)
+  const admitted = replayHotKey(
+    (waitMs) => admit({ workMs, waitMs, elapsedMs: 0, objectiveMs, leftMs: 1000, rank: 0 }).admitted,
+  )
+  assert.equal(admitted.late, 0)
+  assert.ok(admitted.inTime > 3 * all.inTime, `${String(admitted.inTime)} against ${String(all.inTime)}`)
+  const capacity = (5000 / workMs) * slots
+  assert.ok(admitted.inTime >= capacity * 0.95, `${String(admitted.inTime)} of ${String(capacity)}`)
+})
+
+test('a slow target with a free slot is used, as nobody waits for it', () => {
+  assert.deepEqual(admit({ workMs: 800, waitMs: 0, elapsedMs: 0, objectiveMs, leftMs: 1000, rank: 2 }), {
+    admitted: true,
+  })
+})
+
+test('less urgent requests are refused at a shorter queue than urgent ones', () => {
+  const longestWait = (rank: number): number => {
+    let waitMs = 0
+    while (admit({ workMs, waitMs: waitMs + 1, elapsedMs: 0, objectiveMs, leftMs: 5000, rank }).admitted)
+      waitMs += 1
+    return waitMs
+  }
+  assert.ok(longestWait(0) > longestWait(1))
+  assert.ok(longestWait(1) > longestWait(2))
+})
+
+test('a request that cannot end before its deadline is refused at once, with the time to come back', () => {
+  const admission = admit({ workMs, waitMs: 400, elapsedMs: 600, objectiveMs, leftMs: 300, rank: 0 })
+  assert.equal(admission.admitted, false)
+  assert.ok(!admission.admitted && admission.reason === 'deadline' && admission.retryAfterMs > 0)
+})
+
+test('callers that are refused together do not come back together', () => {
+  const random = new Random(1)
+  const times = Array.from({ length: 100 }, () => spreadRetryAfterMs(200, random.float()))
+  assert.ok(Math.min(...times) >= 200)
+  assert.ok(Math.max(...times) - Math.min(...times) > 80)
+})
+
+test('hosts with the same reports do not all choose the same target', () => {
+  const random = new Random(2)
+  const candidates = Array.from({ length: 8 }, (_, index) => ({
+    target: index,
+    predictedMs: 100 + index,
+    distanceMs: 0,
+    failureLevel: 0,
+  }))
+  const counts = Array.from({ length: 8 }, () => 0)
+  for (let host = 0; host < 1000; host += 1) {
+    const chosen = chooseTarget(candidates, random)?.target ?? 0
+    counts[chosen] = (counts[chosen] ?? 0) + 1
+  }
+  assert.ok(Math.max(...counts) < 600, counts.join(' '))
+})
+
+test('a target that fails fast does not attract requests', () => {
+  const random = new Random(3)
+  const load = new TargetLoad()
+  for (let failure = 0; failure < 4; failure += 1) load.failed(failure * 10)
+  const candidates = [
+    { target: 'failing', predictedMs: 5, distanceMs: 0, failureLevel: load.failureLevel(40) },
+    { target: 'sound', predictedMs: 20, distanceMs: 0, failureLevel: 0 },
+  ]
+  assert.equal(chooseTarget(candidates, random)?.target, 'sound')
+})
+
+test('an old report gives way to what is usual', () => {
+  const load = new TargetLoad()
+  load.reported(0, { running: 6, waiting: 20, slots, slowdown: 4 })
+  const input = { workMs, slots, expectedOccupancy: 2 }
+  const fresh = load.predict(0, input)
+  const old = load.predict(5000, input)
+  assert.ok(fresh.waitMs > 1000)
+  assert.equal(old.waitMs, 0)
+  assert.ok(old.workMs < 1.01 * workMs)
+})
+
+test('no hedge while the budget is low or when it could not help', () => {
+  assert.equal(hedgeDelayMs({ predictedMs: 50, objectiveMs, leftMs: 1000, budgetReserve: 0.1 }), undefined)
+  assert.equal(hedgeDelayMs({ predictedMs: 400, objectiveMs, leftMs: 200, budgetReserve: 1 }), undefined)
+  assert.equal(hedgeDelayMs({ predictedMs: 50, objectiveMs, leftMs: 1000, budgetReserve: 1 }), 100)
+})
--- /dev/null
+++ b/packages/storage/src/memory-row-store.ts
@@ -0,0 +1,84 @@
+/** Tables with a change feed in memory: the state behind stand-ins of the store. */
+import type { RowTransaction, StoredRow, TableChanges } from './row-store.js'
+
+type Change = TableChanges['rows'][number]
+
+export class MemoryRowStore {
+  readonly #tables = new Map<string, Map<string, StoredRow>>()
+  readonly #changes = new Map<string, Change[]>()
+  readonly #waiters = new Set<() => void>()
+  #version = 0
+  /** Changes up to this version are forgotten. */
+  #floor = 0
+
+  get version(): number {
+    return this.#version
+  }
+
+  /** In ascending order of their keys. */
+  rows(table: string): StoredRow[] {
+    return [...(this.#tables.get(table)?.values() ?? [])].sort((a, b) => (a.key < b.key ? -1 : 1))
+  }
+
+  row(table: string, key: string): StoredRow | undefined {
+    return this.#tables.get(table)?.get(key)
+  }
+
+  /** Undefined when the history since that version is forgotten. */
+  changes(table: string, after: number): Change[] | undefined {
+    if (after < this.#floor) return undefined
+    return (this.#changes.get(table) ?? []).filter(({ version }) => version > after)
+  }
+
+  write(table: string, key: string, value: Buffer): number {
+    return this.#apply([{ table, key, value }], [])
+  }
+
+  remove(table: string, key: string): void {
+    this.#apply([], [{ table, key }])
+  }
+
+  /** Undefined when a condition does not hold. */
+  commit({ conditions, writes, deletes = [] }: RowTransaction): number | undefined {
+    const holds = conditions.every(
+      ({ table, key, version }) => (this.row(table, key)?.version ?? 0) === version,
+    )
+    return holds ? this.#apply(writes, deletes) : undefined
+  }
+
+  forgetHistory(): void {
+    this.#floor = this.#version
+    this.#changes.clear()
+  }
+
+  /** Calls back at the next change of any table. */
+  onChange(callback: () => void): () => void {
+    this.#waiters.add(callback)
+    return () => this.#waiters.delete(callback)
+  }
+
+  #apply(writes: RowTransaction['writes'], deletes: NonNullable<RowTransaction['deletes']>): number {
+    this.#version += 1
+    const version = this.#version
+    for (const { table, key, value } of writes) {
+      const rows = this.#tables.get(table) ?? new Map<string, StoredRow>()
+      rows.set(key, { key, value, version })
+      this.#tables.set(table, rows)
+      this.#log(table, { key, value, version })
+    }
+    for (const { table, key } of deletes) {
+      if (this.#tables.get(table)?.delete(key) === true) this.#log(table, { key, version, deleted: true })
+    }
+    for (const waiter of [...this.#waiters]) {
+      this.#waiters.delete(waiter)
+      waiter()
+    }
+    return version
+  }
+
+  #log(table: string, change: Change): void {
+    const changes = this.#changes.get(table) ?? []
+    changes.push(change)
+    this.#changes.set(table, changes)
+  }
+}
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -11,10 +11,9 @@
   treeShaking: true,
   sourcemap: false,
   alias: Object.fromEntries(
-    ['core', 'http', 'routing', 'assignment', 'storage'].map((name) => [
-      `@pimentotally/${name}`,
-      `./packages/${name}/src/index.ts`,
-    ]).concat([['@pimentotally/platform', './platform/src/index.ts']]),
+    ['core', 'http', 'routing', 'assignment', 'storage']
+      .map((name) => [`@pimentotally/${name}`, `./packages/${name}/src/index.ts`])
+      .concat([['@pimentotally/platform', './platform/src/index.ts']]),
   ),
   banner: {
     js: "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);",
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -10,7 +10,10 @@
     return entry.isDirectory() ? walk(path) : path.endsWith('.test.js') ? [path] : []
   })
 
-const packages = readdirSync('packages').map((name) => join('packages', name, 'dist'))
+const packages = [
+  ...readdirSync('packages').map((name) => join('packages', name, 'dist')),
+  join('platform', 'dist'),
+]
 const wanted = process.argv.slice(2)
 const files = packages
   .filter((dir) => existsSync(dir))
