--- a/packages/assignment/src/assignment.test.ts
+++ b/packages/assignment/src/assignment.test.ts
@@ -2,7 +2,14 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import fc from 'fast-check'
-import { balanceRanges, evacuateRanges, placeHotKey, type BalanceTarget } from './balance.js'
+import { Random } from '@pimentotally/core'
+import {
+  balanceRanges,
+  evacuateRanges,
+  imbalanceTolerance,
+  placeHotKey,
+  type BalanceTarget,
+} from './balance.js'
 import { HeldLease, ObservedLease, type LeaderRecord } from './election.js'
 import { TargetHolds } from './holds.js'
 import { KeyLoad } from './key-load.js'
@@ -17,6 +24,7 @@
   reassign,
   type Assignment,
 } from './range-map.js'
+import { admittedShares } from './shares.js'
 import { TargetSpeeds, speedExponent } from './target-speeds.js'
 
 const targets = (count: number, weight = 1): BalanceTarget[] =>
@@ -123,7 +131,7 @@
 test('a leaving target gives up all its keys to several others, and nothing else moves', () => {
   const assignment = initialAssignment('notes', targets(6))
   const left = targets(6).map((target) => (target.id === 't2' ? { ...target, weight: 0 } : target))
-  const moves = evacuateRanges(assignment, left, new KeyLoad(), 20)
+  const moves = evacuateRanges(assignment, left, new KeyLoad())
   const next = reassign(assignment, moves)
   assertCovers(next)
   assert.equal(
@@ -147,7 +155,14 @@
 
 test('a leader stops before any other host takes over, even when one of its clocks stood still', () => {
   const times = { leaseMs: 2400, marginMs: 300 }
-  const record: LeaderRecord = { leader: 'a', peerAddress: '', term: 1, renewal: 1, released: false }
+  const record: LeaderRecord = {
+    leader: 'a',
+    peerAddress: '',
+    term: 1,
+    renewal: 1,
+    released: false,
+    unsettledMs: 0,
+  }
   const held = new HeldLease(times, { monotonicMs: 0, wallMs: 1_000_000 })
   const observed = new ObservedLease(times, 0)
   observed.observe(record, 4)
@@ -161,7 +176,14 @@
 
 test('an unchanged record is not taken for a renewal', () => {
   const observed = new ObservedLease({ leaseMs: 1000, marginMs: 100 }, 0)
-  const record: LeaderRecord = { leader: 'a', peerAddress: '', term: 1, renewal: 7, released: false }
+  const record: LeaderRecord = {
+    leader: 'a',
+    peerAddress: '',
+    term: 1,
+    renewal: 7,
+    released: false,
+    unsettledMs: 0,
+  }
   observed.observe(record, 0)
   observed.observe({ ...record }, 900)
   assert.equal(observed.waitMs(1100), 0)
@@ -180,3 +202,48 @@
   assert.ok(speedExponent(0.3) > speedExponent(0.7))
   assert.equal(speedExponent(1), 1)
 })
+
+test('keys of an owner that cannot release them stay with it', () => {
+  const assignment = initialAssignment('notes', targets(3))
+  const left = targets(3).slice(1)
+  assert.deepEqual(evacuateRanges(assignment, left, new KeyLoad(), { except: new Set(['t0']) }), [])
+  assert.ok(evacuateRanges(assignment, left, new KeyLoad()).length > 0)
+})
+
+test('the balance is close on a busy service and loose on an idle one', () => {
+  assert.ok(imbalanceTolerance(0.2) > imbalanceTolerance(0.5))
+  assert.ok(imbalanceTolerance(0.9) < 1.2)
+})
+
+test('a key that turns hot is seen within a second, and forgotten as soon', () => {
+  const keyLoad = new KeyLoad()
+  for (let ms = 0; ms < 1000; ms += 100) {
+    keyLoad.decay(ms)
+    keyLoad.add(5, 5)
+  }
+  assert.ok(keyLoad.rate(5) > 20)
+  assert.equal(keyLoad.hottest().key, 5)
+  keyLoad.decay(4000)
+  assert.ok(keyLoad.rate(5) < 5)
+})
+
+test('the rate of a cold key is not taken from the few requests of one moment', () => {
+  const keyLoad = new KeyLoad()
+  keyLoad.decay(0)
+  keyLoad.add(9, 1)
+  assert.ok(keyLoad.rate(9) < 0.5)
+})
+
+test('many hosts together send the owner of a hot key what it can serve', () => {
+  const demands = [
+    { id: 'hot', requestsPerSecond: 300, capacityPerSecond: 20 },
+    { id: 'busy', requestsPerSecond: 10, capacityPerSecond: 20 },
+    { id: 'idle', requestsPerSecond: 0, capacityPerSecond: 20 },
+  ]
+  const shares = admittedShares(demands)
+  assert.deepEqual([...shares.keys()], ['hot'])
+  const random = new Random(1)
+  let sent = 0
+  for (let request = 0; request < 3000; request += 1) if (random.float() < (shares.get('hot') ?? 1)) sent += 1
+  assert.ok(sent / 10 < 20 && sent / 10 > 14, `${String(sent / 10)} a second`)
+})
--- a/packages/assignment/src/balance.ts
+++ b/packages/assignment/src/balance.ts
@@ -30,13 +30,16 @@
   readonly minPiece?: number
 }
 
-/** With free slots, an uneven load costs callers less than the moves to even it out. */
-const spareTolerance = 1.8
-const fullTolerance = 1.25
+/** A target this busy still answers without a queue, most of the time. */
+const comfortableUtilization = 0.65
+/** Measured loads differ by chance; a closer balance would only move keys. */
+const closestTolerance = 1.15
+/** With many free slots, an uneven load costs callers less than moves. */
+const loosestTolerance = 1.8
 
 /** Load above the fair share, as a factor, that is left alone at a utilization of the service between 0 and 1. */
 export const imbalanceTolerance = (utilization: number): number =>
-  spareTolerance + (fullTolerance - spareTolerance) * Math.min(1, Math.max(0, utilization))
+  Math.min(loosestTolerance, Math.max(closestTolerance, comfortableUtilization / Math.max(0.01, utilization)))
 
 interface Loaded {
   readonly target: BalanceTarget
@@ -44,8 +47,8 @@
   keys: number
 }
 
-/** Requests within the memory of the load below which no key counts as hot. */
-const minHotLoad = 10
+/** Requests a second below which no key is worth a target of its own. */
+const minHotRate = 10
 /** A hot key moves only to a target that is this much faster. */
 const worthwhileGain = 1.5
 /** A piece may have this much more than the wanted load. */
@@ -82,12 +85,19 @@
   return pieces
 }
 
+export interface EvacuateOptions {
+  /** Ranges that may move in one round. */
+  readonly maxMoves?: number
+  /** Owners that keep their ranges for now. */
+  readonly except?: ReadonlySet<string>
+}
+
 /** Ranges whose owner is gone or must give its keys up go to the remaining targets, least loaded first. */
 export const evacuateRanges = (
   assignment: Assignment,
   targets: readonly BalanceTarget[],
   keyLoad: KeyLoad,
-  maxMoves: number,
+  { maxMoves = 24, except }: EvacuateOptions = {},
 ): Reassignment[] => {
   const loaded = loadsOf(assignment, targets, keyLoad)
   const remaining = loaded.filter(({ target }) => target.weight > 0)
@@ -97,7 +107,8 @@
   const totalLoad = assignment.ranges.reduce((sum, range) => sum + measure(range, keyLoad), 0)
   const pieceLoad = totalLoad / remaining.length / 2
   for (const range of assignment.ranges) {
-    if (usable.has(range.owner) || range.formerOwner !== undefined) continue
+    if (usable.has(range.owner) || except?.has(range.owner) === true || range.formerOwner !== undefined)
+      continue
     for (const piece of cut(range, keyLoad, pieceLoad)) {
       if (moves.length >= maxMoves) return moves
       const receiver = leastLoaded(loaded)
@@ -212,7 +223,7 @@
   if (range === undefined || owner === undefined || range.formerOwner !== undefined || owner.weight <= 0)
     return undefined
   const total = keyLoad.sum(0, keyCount - 1)
-  if (hottest.load < minHotLoad || hottest.load < (total * owner.weight) / totalWeight) return undefined
+  if (hottest.rate < minHotRate || hottest.rate < (total * owner.weight) / totalWeight) return undefined
   const fastest = targets.reduce((best, target) => (target.weight > best.weight ? target : best), owner)
   if (fastest.weight < owner.weight * worthwhileGain) return undefined
   return {
--- a/packages/assignment/src/holds.ts
+++ b/packages/assignment/src/holds.ts
@@ -40,6 +40,11 @@
     return this.#lapsesAtMs
   }
 
+  /** When no unanswered grant can be applied late any more. */
+  settledAtMs(nowMs: number): number {
+    return this.#unanswered.reduce((latest, { lapsesAtMs }) => Math.max(latest, lapsesAtMs), nowMs)
+  }
+
   /** When a range that the target has released is certainly free. */
   freeAfterReleaseMs(range: KeyRange, releasedAtMs: number): number {
     return this.#unanswered
--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -17,6 +17,7 @@
 } from '@pimentotally/wire'
 import type { AcceptedChange, HostConnections } from './connection.js'
 import { ExitCode } from './exit-code.js'
+import { explainRequest } from './explain.js'
 import { CliFailure, usageFailure } from './failure.js'
 import { formatMessage, formatTable, type Surroundings } from './output.js'
 
@@ -57,6 +58,18 @@
   return ExitCode.done
 }
 
+/** Follows a request through the lines of any number of hosts; nothing is sent. */
+export const explain = (
+  { surroundings, json }: CommandContext,
+  requestId: string,
+  file: string,
+): ExitCode => {
+  const { found, text } = explainRequest(requestId, readText(file))
+  if (!found) throw usageFailure(text, 'give the logs of all hosts that may have had the request')
+  surroundings.out(json ? JSON.stringify({ requestId, text }, undefined, 2) : text)
+  return ExitCode.done
+}
+
 /** Checks the declarative file, and a host's settings with it when given; nothing is sent. */
 export const validate = (context: CommandContext, file: string, settingsFile?: string): ExitCode => {
   const deployment = DeploymentFile.safeParse(readText(file), { file })
--- a/packages/cli/src/run.ts
+++ b/packages/cli/src/run.ts
@@ -115,6 +115,17 @@
 
 const viewCommands = (parser: Argv, select: Select): Argv =>
   parser
+    .command(
+      'explain <request-id>',
+      "Explain a request from the daemons' logs, on standard input or in a file",
+      (command) =>
+        jsonOption(
+          command.positional('request-id', { ...required, describe: 'X-Request-Id of the request' }),
+        ).option('logs', { type: 'string', default: '/dev/stdin', describe: 'File with log lines' }),
+      (args) => {
+        select({ json: args.json }, (context) => commands.explain(context, args.requestId, args.logs))
+      },
+    )
     .command('status', 'Show a host and what it knows of the others', connectionOptions, (args) => {
       select(args, commands.status)
     })
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -86,6 +86,7 @@
       addSpeed: (target, sum, count) => {
         this.#keys.speeds.add(target, sum, count)
       },
+      shares: () => this.#keys.shares(),
     })
     this.#dispatcher = new Dispatcher({
       clock,
@@ -102,6 +103,7 @@
       observeSpeed: (target, factor) => {
         this.#reports.observeSpeed(target, factor)
       },
+      admittedShare: (target) => this.#reports.share(target),
     })
     this.#callers = new CallerServer({ clock, logger, directory, dispatcher: this.#dispatcher })
     this.#leadership = new Leadership({
@@ -111,6 +113,7 @@
       directory,
       processId: this.#processId,
       peerAddress: `${ip}:${String(peerPort)}`,
+      unsettledMs: () => this.#keys.unsettledMs(),
       turn: random.float(),
     })
     this.#keys = new KeyControl({
--- a/packages/gateway/src/dispatcher.test.ts
+++ b/packages/gateway/src/dispatcher.test.ts
@@ -106,6 +106,7 @@
       retryBudget: { ratio: 0.2, windowMs: 10_000, slack: 60 },
       countKey: () => undefined,
       observeSpeed: () => undefined,
+      admittedShare: () => 1,
     })
     const server = new CallerServer({ clock, logger, directory, dispatcher })
     const port = await freePort()
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -36,8 +36,12 @@
 const maxMoveWaitMs = 150
 /** Where nothing better is known. */
 const defaultRetryAfterMs = 250
+/** Keys are balanced anew about this often, so that an overloaded owner may have room. */
+const overloadRetryAfterMs = 500
 /** The answer has to reach the caller before its deadline. */
 const answerMarginMs = 15
+/** Longest idle time of a connection that carries a request which must not be repeated. */
+const unsafeIdleMs = 1500
 /** The cost of a byte between failure domains, as a delay. */
 const distanceMs = 4
 const downloadDistanceMs = 25
@@ -57,6 +61,8 @@
   readonly retryBudget: RetryBudgetOptions
   readonly countKey: (service: string, key: number) => void
   readonly observeSpeed: (target: string, factor: number) => void
+  /** Which part of the requests for a target's keys may be sent to it. */
+  readonly admittedShare: (target: string) => number
 }
 
 export interface Inbound {
@@ -112,6 +118,8 @@
 interface Refusal {
   readonly reason: string
   readonly retryAfterMs: number
+  /** What the decision was based on, for the log. */
+  readonly inputs?: Readonly<Record<string, unknown>>
 }
 
 const totalMs = ({ workMs, waitMs }: Prediction): number => workMs + waitMs
@@ -238,8 +246,9 @@
     const range = directory.range(service.name, key)
     if (range === undefined)
       return { refusal: { reason: 'key_without_owner', retryAfterMs: defaultRetryAfterMs } }
+    const inputs = { target: range.owner, formerOwner: range.formerOwner, fence: range.fence }
     if (range.formerOwner !== undefined) {
-      return { refusal: { reason: 'key_moving', retryAfterMs: defaultRetryAfterMs } }
+      return { refusal: { reason: 'key_moving', retryAfterMs: defaultRetryAfterMs, inputs } }
     }
     const target = directory.target(range.owner)
     const nowMs = this.#nowMs()
@@ -247,20 +256,27 @@
       target !== undefined &&
       !directory.isEvacuated(target.domain) &&
       (directory.isUsable(target) || nowMs - target.stateSinceMs < drainingOwnerMs)
-    if (!usable) return { refusal: { reason: 'owner_leaves', retryAfterMs: defaultRetryAfterMs * 2 } }
+    if (!usable) return { refusal: { reason: 'owner_leaves', retryAfterMs: defaultRetryAfterMs * 2, inputs } }
     if (this.#tried.has(target.id))
-      return { refusal: { reason: 'owner_failed', retryAfterMs: defaultRetryAfterMs } }
+      return { refusal: { reason: 'owner_failed', retryAfterMs: defaultRetryAfterMs, inputs } }
     const observed = targets.of(target.id)
     if (observed.pausedUntilMs > nowMs) {
       return {
         refusal: {
           reason: 'owner_unreachable',
           retryAfterMs: Math.max(defaultRetryAfterMs, observed.pausedUntilMs - nowMs),
+          inputs: { ...inputs, connectFailures: observed.connectFailures },
         },
       }
     }
+    const share = this.#options.admittedShare(target.id)
+    if (share < 1 && this.#options.random.float() >= share) {
+      return {
+        refusal: { reason: 'owner_share', retryAfterMs: overloadRetryAfterMs, inputs: { ...inputs, share } },
+      }
+    }
     const coldWaitMs = this.#coldWaitMs(target)
-    if (coldWaitMs > 0) return { refusal: { reason: 'owner_cold', retryAfterMs: coldWaitMs } }
+    if (coldWaitMs > 0) return { refusal: { reason: 'owner_cold', retryAfterMs: coldWaitMs, inputs } }
     return this.#admitTo(target, this.#predict(target))
   }
 
@@ -337,7 +353,17 @@
     })
     return admission.admitted
       ? { target, predicted }
-      : { refusal: { reason: admission.reason, retryAfterMs: admission.retryAfterMs } }
+      : {
+          refusal: {
+            reason: admission.reason,
+            retryAfterMs: admission.retryAfterMs,
+            inputs: {
+              target: target.id,
+              ...predicted,
+              ...this.#options.targets.of(target.id).load.describe(this.#nowMs()),
+            },
+          },
+        }
   }
 
   #launch(target: KnownTarget, predicted: Prediction): void {
@@ -345,7 +371,11 @@
     const { request, requestId, match, body } = this.#inbound
     const observed = targets.of(target.id)
     const agent = targets.agent(target, match.service)
-    if (!this.#idempotent && observed.distrustedUntilMs > this.#nowMs()) agent.dropIdle()
+    if (!this.#idempotent) {
+      // A request that cannot be repeated is not risked on a connection that the target may have closed or spoiled.
+      if (observed.distrustedUntilMs > this.#nowMs()) agent.dropIdle()
+      else agent.dropIdleLongerThan(unsafeIdleMs)
+    }
     const sentAtMs = clock.monotonicMs()
     const exchange = new TargetExchange({
       agent,
@@ -548,23 +578,34 @@
       }
       incoming.destroy()
     }
-    if (this.#mayHaveRun) this.#generate(502, refusal.reason, undefined)
-    else this.#generate(503, refusal.reason, refusal.retryAfterMs)
+    if (this.#mayHaveRun) this.#generate(502, refusal.reason, undefined, refusal.inputs)
+    else this.#generate(503, refusal.reason, refusal.retryAfterMs, refusal.inputs)
   }
 
   #timeOut(): void {
     if (this.#finished) return
     const sent = this.#mayHaveRun || [...this.#attempts].some(({ exchange }) => exchange.sent)
     this.#cancelAttempts()
-    if (sent) this.#generate(504, 'timeout', undefined)
-    else this.#generate(503, 'timeout', defaultRetryAfterMs)
+    const inputs = { tried: [...this.#tried], leftMs: this.#leftMs() }
+    if (sent) this.#generate(504, 'timeout', undefined, inputs)
+    else this.#generate(503, 'timeout', defaultRetryAfterMs, inputs)
   }
 
-  #generate(status: number, code: string, retryAfterMs: number | undefined): void {
+  #generate(
+    status: number,
+    code: string,
+    retryAfterMs: number | undefined,
+    inputs: Readonly<Record<string, unknown>> = {},
+  ): void {
     const { response } = this.#inbound
     const spreadMs =
       retryAfterMs === undefined ? undefined : spreadRetryAfterMs(retryAfterMs, this.#options.random.float())
-    this.#finish(status === 503 ? 'refused' : 'failed', { status, code, retryAfterMs: spreadMs })
+    this.#finish(status === 503 ? 'refused' : 'failed', {
+      status,
+      code,
+      retryAfterMs: spreadMs,
+      ...inputs,
+    })
     if (response.destroyed) return
     response.writeHead(status, {
       'content-type': 'application/json',
--- a/packages/gateway/src/key-control.ts
+++ b/packages/gateway/src/key-control.ts
@@ -60,10 +60,20 @@
     }
   }
 
+  /** Shares below 1 of all services; empty while this host does not lead. */
+  shares(): Record<string, number> {
+    return Object.fromEntries([...this.#keepers.values()].flatMap((keeper) => [...keeper.shares]))
+  }
+
+  /** How long a grant without an answer may still be applied late, in milliseconds. */
+  unsettledMs(): number {
+    return Math.max(0, ...[...this.#keepers.values()].map((keeper) => keeper.unsettledMs()))
+  }
+
   /** No grant is sent after this call. */
   stop(): void {
     this.#stopped = true
-    this.#closeKeepers()
+    for (const keeper of this.#keepers.values()) keeper.close()
   }
 
   async #tick(tenure: Tenure): Promise<void> {
--- a/packages/gateway/src/key-keeper.ts
+++ b/packages/gateway/src/key-keeper.ts
@@ -7,10 +7,12 @@
 import {
   GrantOutcome,
   TargetHolds,
+  admittedShares,
   balanceRanges,
   completeMoves,
   encodeAssignment,
   evacuateRanges,
+  findRange,
   imbalanceTolerance,
   initialAssignment,
   mergeRanges,
@@ -23,7 +25,9 @@
   type BalanceTarget,
   type KeyLoad,
   type Reassignment,
+  type TargetAddress,
   type TargetControl,
+  type TargetDemand,
   type TargetSpeeds,
 } from '@pimentotally/assignment'
 import { storeTables } from '@pimentotally/platform'
@@ -39,7 +43,9 @@
 /** A release is answered when the work on its keys has ended. */
 const releaseTimeoutMs = 1600
 const regrantPauseMs = 200
-const probeTimeoutMs = 700
+const probeTimeoutMs = 500
+/** Two heartbeats and a read of the register. */
+const reentryMs = 2500
 const balanceEveryMs = 700
 /** Targets register within this time of the first one. */
 const gatheringMs = 1500
@@ -69,6 +75,23 @@
   readonly remainingMs: () => number
 }
 
+/** Share of the targets' capacity that is used; what a target cannot serve does not count. */
+const utilizationOf = (demands: readonly TargetDemand[]): number => {
+  const capacity = demands.reduce((sum, { capacityPerSecond }) => sum + capacityPerSecond, 0)
+  const used = demands.reduce(
+    (sum, demand) => sum + Math.min(demand.requestsPerSecond, demand.capacityPerSecond),
+    0,
+  )
+  return capacity === 0 ? 1 : used / capacity
+}
+
+/** An owner that left the register while its grants may last. */
+interface VanishedOwner {
+  wasSilent: boolean
+  /** Undefined while it does not answer. */
+  answersSinceMs: number | undefined
+}
+
 interface Move {
   readonly range: AssignedRange
   done: boolean
@@ -83,10 +106,16 @@
   >()
   readonly #silentSinceMs = new Map<string, number>()
   readonly #renewing = new Set<string>()
+  readonly #vanished = new Map<string, VanishedOwner>()
   readonly #renewedAtMs = new Map<string, number>()
   readonly #moves = new Map<number, Move>()
+  /** No grant of a predecessor lasts longer. */
   readonly #inheritedLapseMs: number
+  /** No unanswered grant of a predecessor can be applied late from then on. */
+  readonly #settledAtMs: number
+  #grantsUnderWay = 0
   #assignment: Assignment | undefined
+  #shares: ReadonlyMap<string, number> = new Map()
   #version = 0
   #committing = false
   #balancedAtMs = 0
@@ -100,6 +129,13 @@
     // A predecessor that lost the store may have extended its grants at the end of its lease.
     const hold = { none: 0, released: grantHoldMs, lapsed: maxHoldMs }[tenure.predecessor]
     this.#inheritedLapseMs = hold === 0 ? 0 : tenure.startedAtMs + hold * 1.02 + grantTimeoutMs + 150
+    this.#settledAtMs =
+      tenure.predecessor === 'released' ? tenure.startedAtMs + tenure.unsettledMs : this.#inheritedLapseMs
+  }
+
+  /** Which part of the requests for a target's keys may be sent to it; all of them where nothing is said. */
+  get shares(): ReadonlyMap<string, number> {
+    return this.#shares
   }
 
   /** Share of the service's targets that do not answer. */
@@ -114,6 +150,14 @@
     this.#closed = true
   }
 
+  /** How long a grant without an answer may still be applied late, in milliseconds. */
+  unsettledMs(): number {
+    const nowMs = this.#options.clock.monotonicMs()
+    const underWayMs = this.#grantsUnderWay > 0 ? grantTimeoutMs + this.#options.maxHoldMs * 1.02 : 0
+    const holds = [...this.#holds.values()].map((hold) => hold.settledAtMs(nowMs) - nowMs)
+    return Math.max(underWayMs, this.#settledAtMs - nowMs, 0, ...holds)
+  }
+
   /** Called several times a second. */
   async tick(): Promise<void> {
     if (this.#closed || this.#options.remainingMs() <= 0) return
@@ -162,28 +206,32 @@
     const done = [...this.#moves.values()].filter((move) => move.done)
     const moving = this.#moves.size - done.length
     keyLoad.decay(nowMs)
-    const utilization = this.#utilization()
-    const exponent = speedExponent(utilization)
-    const targets = directory.targets(service).map((target) => this.#weigh(target, nowMs, exponent))
     const current = completeMoves(
       assignment,
       done.map(({ range }) => range),
     )
+    const demands = this.#demands(current)
+    this.#shares = admittedShares(demands)
+    const utilization = utilizationOf(demands)
+    const exponent = speedExponent(utilization)
+    const targets = directory.targets(service).map((target) => this.#weigh(target, nowMs, exponent))
+    const pinned = this.#pinned(current, nowMs)
     const renewed = this.#newLives(current)
     const room = maxMovesAtOnce - moving
     let changes: Reassignment[] = renewed
     let reason = 'new_life'
-    if (changes.length === 0 && room > 0) {
-      changes = evacuateRanges(current, targets, keyLoad, room)
+    // A stored move says that no unanswered grant of the range was left; whoever takes over may go on with it at once.
+    const settled = nowMs >= this.#settledAtMs
+    if (changes.length === 0 && room > 0 && settled) {
+      changes = evacuateRanges(current, targets, keyLoad, { maxMoves: room, except: pinned })
       reason = 'owner_leaves'
     }
-    // Moves that can wait do so until no grant of a lost predecessor can be applied late.
-    const settled = nowMs >= this.#inheritedLapseMs
     if (changes.length === 0 && moving === 0 && settled && nowMs - this.#balancedAtMs > balanceEveryMs) {
       this.#balancedAtMs = nowMs
       const hot = placeHotKey(current, targets, keyLoad)
       const tolerance = imbalanceTolerance(utilization)
       changes = hot === undefined ? balanceRanges(current, targets, keyLoad, { tolerance }) : [hot]
+      changes = changes.filter(({ from }) => !pinned.has(findRange(current.ranges, from)?.owner ?? ''))
       reason = hot === undefined ? 'balance' : 'hot_key'
     }
     if (changes.length === 0 && done.length === 0) return
@@ -212,14 +260,74 @@
     })
   }
 
-  /** Share of the usable targets' slots that is busy. */
-  #utilization(): number {
+  /**
+   * Owners whose ranges cannot move now. A grant without an answer may still be applied; a silent owner that left the
+   * register may come back, and a move would keep it from serving its keys. Load pattern: a failure domain is cut off
+   * for some seconds.
+   */
+  #pinned(assignment: Assignment, nowMs: number): ReadonlySet<string> {
+    const pinned = new Set<string>()
+    for (const owner of new Set(assignment.ranges.map((range) => range.owner))) {
+      if (this.#isPinned(owner, nowMs)) pinned.add(owner)
+      else this.#vanished.delete(owner)
+    }
+    return pinned
+  }
+
+  #isPinned(owner: string, nowMs: number): boolean {
+    const { directory } = this.#options
+    const known = this.#addressOf(owner)
+    const holds = this.#holdsOf(owner)
+    if (
+      directory.isCertainlyGone(owner, known?.address, known?.startedAtEpochMs) ||
+      nowMs >= holds.lapsesAtMs
+    )
+      return false
+    if (holds.settledAtMs(nowMs) > nowMs) return true
+    if (this.#target(owner) !== undefined || known === undefined) return known === undefined
+    const vanished = this.#vanished.get(owner) ?? { wasSilent: false, answersSinceMs: undefined }
+    this.#vanished.set(owner, vanished)
+    if (!this.#renewing.has(owner)) {
+      this.#renewing.add(owner)
+      void this.#probeVanished({ id: owner, address: known.address }, vanished)
+    }
+    if (vanished.answersSinceMs === undefined) return true
+    // A target that was cut off enters the register again after its next heartbeat.
+    return vanished.wasSilent && nowMs - vanished.answersSinceMs < reentryMs
+  }
+
+  async #probeVanished(target: TargetAddress, vanished: VanishedOwner): Promise<void> {
+    const { calls, clock } = this.#options
+    if (await calls.probe(target, this.#healthPath(), probeTimeoutMs)) {
+      vanished.answersSinceMs ??= clock.monotonicMs()
+    } else {
+      vanished.wasSilent = true
+      vanished.answersSinceMs = undefined
+    }
+    await clock.sleep(probeTimeoutMs)
+    this.#renewing.delete(target.id)
+  }
+
+  #healthPath(): string {
+    const { directory, service } = this.#options
+    return directory.routes?.configuration.services.get(service)?.healthPath ?? '/'
+  }
+
+  /** Demand and capacity of each usable target. */
+  #demands(assignment: Assignment): TargetDemand[] {
     const { directory, service, keyLoad, speeds, workMs } = this.#options
-    const capacity = directory
+    const rates = new Map<string, number>()
+    for (const { from, to, owner } of assignment.ranges) {
+      rates.set(owner, (rates.get(owner) ?? 0) + keyLoad.sum(from, to))
+    }
+    return directory
       .targets(service)
       .filter((target) => directory.isUsable(target))
-      .reduce((sum, target) => sum + target.slots / speeds.factor(target.id), 0)
-    return capacity === 0 ? 1 : (keyLoad.ratePerSecond() * workMs()) / 1000 / capacity
+      .map(({ id, slots }) => ({
+        id,
+        requestsPerSecond: rates.get(id) ?? 0,
+        capacityPerSecond: (slots * 1000) / (workMs() * speeds.factor(id)),
+      }))
   }
 
   /** A silent target keeps its keys until its grants have lapsed: nobody else could be granted them before. */
@@ -326,10 +434,9 @@
     range: AssignedRange,
     formerOwner: string,
   ): Promise<{ readonly atMs: number; readonly handover: string | undefined } | undefined> {
-    const { clock, directory, calls, logger, service, tenure } = this.#options
+    const { clock, directory, calls, logger, service } = this.#options
     const known = this.#addressOf(formerOwner)
     const holds = this.#holdsOf(formerOwner)
-    const settledMs = tenure.predecessor === 'lapsed' ? this.#inheritedLapseMs : 0
     for (let attempt = 0; ; attempt += 1) {
       if (!this.#mayGrant()) return undefined
       const nowMs = clock.monotonicMs()
@@ -347,11 +454,8 @@
         { from: range.from, to: range.to, fence: range.fence, timeoutMs: releaseTimeoutMs },
       )
       if (released.isOk && released.value.released) {
-        const freeAtMs = Math.max(holds.freeAfterReleaseMs(range, clock.monotonicMs()), settledMs)
-        return {
-          atMs: Math.min(freeAtMs, Math.max(holds.lapsesAtMs, clock.monotonicMs())),
-          handover: released.value.handover,
-        }
+        const atMs = holds.freeAfterReleaseMs(range, clock.monotonicMs())
+        return { atMs, handover: released.value.handover }
       }
       if (attempt === 0) {
         logger.warn('keys.release_failed', {
@@ -413,9 +517,8 @@
    * gets no more grants until it has answered something else.
    */
   async #probe(target: KnownTarget): Promise<void> {
-    const { calls, service, logger, directory } = this.#options
-    const path = directory.routes?.configuration.services.get(service)?.healthPath ?? '/'
-    if (await calls.probe(target, path, probeTimeoutMs)) {
+    const { calls, service, logger } = this.#options
+    if (await calls.probe(target, this.#healthPath(), probeTimeoutMs)) {
       this.#silentSinceMs.delete(target.id)
       this.#renewedAtMs.delete(target.id)
       logger.info('target.answers', { target: target.id, service })
@@ -455,7 +558,9 @@
     const { calls, clock, logger, service } = this.#options
     const holds = this.#holdsOf(target.id)
     const { from, to, fence } = range
+    this.#grantsUnderWay += 1
     const result = await calls.grant(target, { from, to, fence, holdMs, handover, timeoutMs: grantTimeoutMs })
+    this.#grantsUnderWay -= 1
     const nowMs = clock.monotonicMs()
     const outcome = result.isOk ? result.value : undefined
     if (outcome === undefined || outcome === GrantOutcome.granted) {
--- a/packages/gateway/src/key-reports.ts
+++ b/packages/gateway/src/key-reports.ts
@@ -7,6 +7,8 @@
 
 const reportEveryMs = 500
 const reportTimeoutMs = 300
+/** Shares of a leader that was not heard of for this long no longer count. */
+const shareLifetimeMs = 1800
 export const reportPath = '/key-load'
 
 export interface KeyReportsOptions {
@@ -18,6 +20,8 @@
   readonly keyLoad: (service: string) => KeyLoad | undefined
   /** Takes the sum of so many observed factors on a target's work time. */
   readonly addSpeed: (target: string, sum: number, count: number) => void
+  /** What this host answers to a report while it leads: the part of the requests that each target may be sent. */
+  readonly shares: () => Record<string, number>
 }
 
 type Pairs<Name> = readonly (readonly [name: Name, value: number])[]
@@ -49,6 +53,8 @@
   readonly #counts = new Map<string, Map<number, number>>()
   readonly #speeds = new Map<string, [sum: number, count: number]>()
   readonly #caller = new HttpCaller({ connections: 1 })
+  #shares: ReadonlyMap<string, number> = new Map()
+  #sharesAtMs = -shareLifetimeMs
   #stopped = false
 
   constructor(options: KeyReportsOptions) {
@@ -70,12 +76,17 @@
     this.#speeds.set(target, [sum + factor, count + 1])
   }
 
+  /** Which part of the requests for a target's keys may be sent to it; 1 where the leader says nothing. */
+  share(target: string): number {
+    const isCurrent = this.#options.clock.monotonicMs() - this.#sharesAtMs < shareLifetimeMs
+    return isCurrent ? (this.#shares.get(target) ?? 1) : 1
+  }
+
   /** A lost report only makes the balance less exact, so it is not repeated. */
   async run(): Promise<void> {
     const { clock, directory, processId, logger } = this.#options
     while (!this.#stopped) {
       await clock.sleep(reportEveryMs)
-      if (this.#counts.size + this.#speeds.size === 0) continue
       const report: Report = {
         keys: Object.fromEntries([...this.#counts].map(([service, counts]) => [service, [...counts]])),
         speeds: Object.fromEntries(this.#speeds),
@@ -86,6 +97,7 @@
       if (leader === undefined || leader.released) continue
       if (leader.leader === processId) {
         this.#add(report)
+        this.#setShares(this.#options.shares())
         continue
       }
       const sent = await this.#caller.call({
@@ -97,6 +109,7 @@
         timeoutMs: reportTimeoutMs,
       })
       if (sent.isErr) logger.debug('keys.report_failed', { ...sent.error })
+      else if (sent.value.status === 200) this.#readShares(sent.value.body.toString('utf8'))
     }
   }
 
@@ -118,7 +131,25 @@
       return { status: 400 }
     }
     this.#add(value)
-    return { status: 204 }
+    return { status: 200, body: JSON.stringify(this.#options.shares()) }
+  }
+
+  #readShares(text: string): void {
+    let value: unknown
+    try {
+      value = JSON.parse(text)
+    } catch {
+      value = undefined
+    }
+    const isShares =
+      typeof value === 'object' && value !== null && Object.values(value).every(Number.isFinite)
+    if (isShares) this.#setShares(value as Record<string, number>)
+    else this.#options.logger.warn('keys.shares_malformed', { bytes: text.length })
+  }
+
+  #setShares(shares: Record<string, number>): void {
+    this.#shares = new Map(Object.entries(shares))
+    this.#sharesAtMs = this.#options.clock.monotonicMs()
   }
 
   #add({ keys, speeds }: Report): void {
--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -20,6 +20,8 @@
 /** Three renewals may fail within a lease. */
 const renewEveryMs = 700
 const checkEveryMs = 100
+/** Between two attempts to renew a lease while the store refuses. */
+const retryPauseMs = 250
 /** Hosts try to take a lease over one after the other. */
 const takeoverSteps = 8
 const takeoverStepMs = 50
@@ -34,6 +36,8 @@
   /** Unique for each start of the process. */
   readonly processId: string
   readonly peerAddress: string
+  /** How long a grant of this host without an answer may still be applied late. */
+  readonly unsettledMs: () => number
   /** Offset among the hosts that wait for the same lease, from 0 to 1. */
   readonly turn: number
 }
@@ -43,6 +47,8 @@
   readonly term: number
   /** The predecessor gave its lease up, so that its last grants are bounded by its normal hold. */
   readonly predecessor: 'none' | 'released' | 'lapsed'
+  /** For a predecessor that gave up, how long its unanswered grants may still be applied, from the start. */
+  readonly unsettledMs: number
   readonly startedAtMs: number
 }
 
@@ -54,6 +60,7 @@
   #rowVersion = 0
   #record: LeaderRecord | undefined
   #lastRenewalMs = 0
+  #retryAtMs = 0
   #abstainUntilMs = 0
   #stopped = false
   #releaseRequested: string | undefined
@@ -113,13 +120,19 @@
       term: (seen?.record.term ?? 0) + 1,
       renewal: 1,
       released: false,
+      unsettledMs: 0,
     }
     const sentAt = this.#reading()
     if (!(await this.#write(record, seen?.version ?? 0))) return
     this.#lease = new HeldLease(leaseTimes, sentAt)
     this.#lastRenewalMs = sentAt.monotonicMs
     const predecessor = seen === undefined ? 'none' : seen.record.released ? 'released' : 'lapsed'
-    this.#tenure = { term: record.term, predecessor, startedAtMs: clock.monotonicMs() }
+    this.#tenure = {
+      term: record.term,
+      predecessor,
+      unsettledMs: seen?.record.unsettledMs ?? 0,
+      startedAtMs: clock.monotonicMs(),
+    }
     this.#options.logger.info('leader.elected', { ...this.#tenure, rowVersion: this.#rowVersion })
   }
 
@@ -138,12 +151,16 @@
       await this.#release(this.#releaseRequested)
       return
     }
-    if (clock.monotonicMs() - this.#lastRenewalMs < renewEveryMs || this.#record === undefined) return
+    const nowMs = clock.monotonicMs()
+    if (this.#record === undefined || nowMs < this.#retryAtMs || nowMs - this.#lastRenewalMs < renewEveryMs)
+      return
     const sentAt = this.#reading()
     const record = { ...this.#record, renewal: this.#record.renewal + 1 }
     if (await this.#write(record, this.#rowVersion)) {
       this.#lease?.renewed(sentAt)
       this.#lastRenewalMs = sentAt.monotonicMs
+    } else {
+      this.#retryAtMs = clock.monotonicMs() + retryPauseMs
     }
   }
 
@@ -152,7 +169,9 @@
     this.#lose(reason)
     this.#abstainUntilMs = this.#options.clock.monotonicMs() + abstainMs
     this.#releaseRequested = undefined
-    if (record !== undefined) await this.#write({ ...record, released: true }, this.#rowVersion)
+    if (record === undefined) return
+    const unsettledMs = Math.ceil(this.#options.unsettledMs())
+    await this.#write({ ...record, released: true, unsettledMs }, this.#rowVersion)
   }
 
   #lose(reason: string, successor?: string): void {
--- a/packages/gateway/src/own-rows.ts
+++ b/packages/gateway/src/own-rows.ts
@@ -25,7 +25,8 @@
       typeof record.leader === 'string' &&
       typeof record.peerAddress === 'string' &&
       Number.isInteger(record.term) &&
-      Number.isInteger(record.renewal)
+      Number.isInteger(record.renewal) &&
+      Number.isFinite(record.unsettledMs)
     return valid ? record : undefined
   } catch {
     return undefined
--- a/packages/gateway/src/ownership.test.ts
+++ b/packages/gateway/src/ownership.test.ts
@@ -93,6 +93,24 @@
   assertOwned(world)
 })
 
+test('a target that is cut off for some seconds keeps its keys and serves them when it is back', async () => {
+  const world = await settle(8)
+  const [target] = world.targets
+  assert.ok(target)
+  const held = target.holds.map(({ from, to }) => [from, to])
+  target.isSilent = true
+  world.vanish(target)
+  await world.advance(3500)
+  target.isSilent = false
+  world.reappear(target)
+  await world.advance(2500)
+  assertOwned(world)
+  assert.deepEqual(
+    target.holds.map(({ from, to }) => [from, to]),
+    held,
+  )
+})
+
 type FaultKind =
   | 'killLeader'
   | 'pauseLeader'
--- a/packages/gateway/src/target-table.ts
+++ b/packages/gateway/src/target-table.ts
@@ -4,8 +4,8 @@
 import { ColdSends, TargetLoad, coldShare, type LoadReport, type Service } from '@pimentotally/routing'
 import type { Directory, KnownTarget } from './directory.js'
 
-/** Targets close idle connections after ten seconds; shorter avoids the race. */
-const idleTimeoutMs = 4000
+/** Targets close idle connections after ten seconds or more; shorter avoids the race. */
+const idleTimeoutMs = 8000
 /** After a failed connection a target is tried again after this time, doubled for each failure. */
 const firstPauseMs = 200
 const maxPauseMs = 1600
--- a/packages/gateway/src/testing-world.ts
+++ b/packages/gateway/src/testing-world.ts
@@ -215,6 +215,7 @@
       directory: this.directory,
       processId: name,
       peerAddress: `${name}:1`,
+      unsettledMs: () => this.control.unsettledMs(),
       turn: world.random.float(),
     })
     this.control = new KeyControl({
@@ -434,6 +435,12 @@
     this.store.remove(storeTables.register, target.id)
   }
 
+  /** The entry of a target that was cut off is back. */
+  reappear(target: FakeTarget): void {
+    target.sequence += 1
+    this.#register(target)
+  }
+
   #beat(target: FakeTarget): void {
     this.#register(target)
     const beat = (): void => {
--- a/packages/http/src/target-agent.ts
+++ b/packages/http/src/target-agent.ts
@@ -22,6 +22,7 @@
   readonly #born = new WeakMap<Duplex, number>()
   readonly #guards = new WeakMap<Duplex, () => void>()
   readonly #used = new WeakSet<Duplex>()
+  readonly #idleSinceMs = new WeakMap<Duplex, number>()
   #births = 0
   /** Connections born up to this number are not reused. */
   #retired = 0
@@ -55,6 +56,7 @@
       socket.destroy()
     }
     this.#guards.set(socket, guard)
+    this.#idleSinceMs.set(socket, performance.now())
     socket.on('data', guard)
     return true
   }
@@ -84,6 +86,14 @@
     this.#dropRetired()
   }
 
+  /** Closes connections that were idle for longer than `idleMs`. */
+  dropIdleLongerThan(idleMs: number): void {
+    const beforeMs = performance.now() - idleMs
+    for (const socket of Object.values(this.freeSockets).flat()) {
+      if (socket !== undefined && (this.#idleSinceMs.get(socket) ?? 0) < beforeMs) socket.destroy()
+    }
+  }
+
   #birth(socket: Duplex): number {
     return this.#born.get(socket) ?? 0
   }
--- a/packages/routing/src/load.ts
+++ b/packages/routing/src/load.ts
@@ -122,6 +122,13 @@
     return this.#speedFactor
   }
 
+  /** What the predictions rest on, for the log. */
+  describe(nowMs: number): Readonly<Record<string, unknown>> {
+    const { running, waiting } = this.#report ?? {}
+    const reportAgeMs = this.#report === undefined ? undefined : nowMs - this.#reportedAtMs
+    return { inFlight: this.inFlight, running, waiting, reportAgeMs, speedFactor: this.#speedFactor }
+  }
+
   /** What to expect of one more request, if it is sent now. */
   predict(nowMs: number, { workMs, slots, expectedOccupancy }: PredictionInput): Prediction {
     const ahead = Math.max(0, this.occupancy(nowMs, expectedOccupancy) + 1 - slots)
--- /dev/null
+++ b/packages/standins/src/gateway-cluster.ts
@@ -0,0 +1,270 @@
+/**
+ * The daemons of the users' platform as separate processes on the loopback interface, with a stand-in store and targets
+ * in this process. A cluster ends only processes that it has started.
+ */
+import { spawn, type ChildProcess } from 'node:child_process'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { createServer, type AddressInfo } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { KeyTargetServer, type KeyTargetOptions } from './key-target-server.js'
+import { RowStoreServer } from './row-store-server.js'
+
+const daemonPath = fileURLToPath(import.meta.resolve('@pimentotally/gateway/main'))
+const heartbeatMs = 300
+const conditionTimeoutMs = 30_000
+
+const freePorts = async (count: number): Promise<number[]> => {
+  const servers = Array.from({ length: count }, () => createServer())
+  for (const server of servers) {
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  }
+  const ports = servers.map((server) => (server.address() as AddressInfo).port)
+  for (const server of servers) await new Promise((resolve) => server.close(resolve))
+  return ports
+}
+
+const route = (name: string, type: string): object => ({
+  name,
+  prefix: `/${name}/`,
+  type,
+  timeout: '2000ms',
+  targetLatency: '1000ms',
+  priority: 1,
+  service: name,
+  maxAttempts: 2,
+})
+
+const service = (name: string, isSharded: boolean): object => ({
+  name,
+  healthPath: '/healthz',
+  maxConnections: 120,
+  coldStart: '1s',
+  coldPerS: 50,
+  isSharded,
+  warmup: '0s',
+})
+
+const configuration = {
+  version: 1,
+  services: [service('notes', true), service('orders', false)],
+  limits: {
+    maxHeaderBytes: 16_384,
+    maxBodyBytes: 1_048_576,
+    headerTimeout: '3000ms',
+    idleTimeout: '15000ms',
+  },
+  virtualHosts: [{ hostname: 'shop.example', paths: [route('notes', 'safe'), route('orders', 'unsafe')] }],
+}
+
+interface Settings {
+  readonly name: string
+  readonly ports: readonly number[]
+  readonly storeAddress: string
+}
+
+const settingsText = ({ name, ports: [front, ready, peer, metrics], storeAddress }: Settings): string => `
+[self]
+node = "${name}"
+zone = "a"
+ip = "127.0.0.1"
+[network]
+internalPorts = [${String(peer)}, ${String(metrics)}]
+[network.listen]
+front = "127.0.0.1:${String(front)}"
+ready = "127.0.0.1:${String(ready)}"
+[provider]
+heartbeat = "${String(heartbeatMs)}ms"
+[provider.provider]
+address = "${storeAddress}"
+[terms.bounds]
+drain = "2000ms"
+configApply = "2000ms"
+evacuate = "5000ms"
+grace = "6s"
+holdMax = "10000ms"
+budgetRatio = 0.2
+budgetWindow = "10s"
+budgetSlack = 60
+`
+
+export interface GatewayProcessOptions {
+  readonly name: string
+  readonly settingsPath: string
+  readonly port: number
+  readonly readyPort: number
+}
+
+export class GatewayProcess {
+  readonly options: GatewayProcessOptions
+  /** What the process has written. */
+  readonly lines: string[] = []
+  /** The exit code; null after a signal. */
+  readonly exited: Promise<number | null>
+  readonly #child: ChildProcess
+
+  constructor(options: GatewayProcessOptions) {
+    this.options = options
+    this.#child = spawn(process.execPath, [daemonPath], {
+      env: { PATH: process.env.PATH, PIMENTOTALLY_CONFIG: options.settingsPath },
+      stdio: ['ignore', 'pipe', 'pipe'],
+    })
+    const keep = (chunk: Buffer): void => {
+      this.lines.push(
+        ...chunk
+          .toString()
+          .split('\n')
+          .filter((line) => line !== ''),
+      )
+    }
+    this.#child.stdout?.on('data', keep)
+    this.#child.stderr?.on('data', keep)
+    this.exited = new Promise((resolve) => {
+      this.#child.once('exit', resolve)
+    })
+  }
+
+  get port(): number {
+    return this.options.port
+  }
+
+  get isRunning(): boolean {
+    return this.#child.exitCode === null && this.#child.signalCode === null
+  }
+
+  signal(signal: NodeJS.Signals): void {
+    if (this.isRunning) this.#child.kill(signal)
+  }
+
+  async isReady(): Promise<boolean> {
+    try {
+      const response = await fetch(`http://127.0.0.1:${String(this.options.readyPort)}/readyz`)
+      return response.status === 200
+    } catch {
+      return false
+    }
+  }
+}
+
+export interface GatewayClusterOptions {
+  readonly hosts?: number
+  readonly targets?: number
+  readonly target?: Partial<KeyTargetOptions>
+  /** Stands between the daemons and an address; the address itself by default. */
+  readonly forward?: (address: string) => Promise<string>
+}
+
+export class GatewayCluster {
+  readonly store: RowStoreServer
+  readonly notes: readonly KeyTargetServer[]
+  readonly orders: readonly KeyTargetServer[]
+  readonly hosts: GatewayProcess[] = []
+  readonly #folder = mkdtempSync(join(tmpdir(), 'pimentotally-gateway-'))
+  readonly #addresses = new Map<KeyTargetServer, string>()
+  readonly #beat: NodeJS.Timeout
+  #sequence = 0
+
+  private constructor(
+    store: RowStoreServer,
+    notes: readonly KeyTargetServer[],
+    orders: readonly KeyTargetServer[],
+  ) {
+    this.store = store
+    this.notes = notes
+    this.orders = orders
+    this.#beat = setInterval(() => {
+      this.#register()
+    }, heartbeatMs)
+  }
+
+  static async start({
+    hosts = 2,
+    targets = 3,
+    target = {},
+    forward = (address) => Promise.resolve(address),
+  }: GatewayClusterOptions = {}): Promise<GatewayCluster> {
+    const store = await RowStoreServer.start()
+    store.store.write('op', 'config', Buffer.from(JSON.stringify(configuration)))
+    const start = (name: string, isSharded: boolean): Promise<KeyTargetServer[]> =>
+      Promise.all(
+        Array.from({ length: targets }, (_, index) =>
+          KeyTargetServer.start({
+            ...target,
+            id: `${name}-${String(index)}`,
+            service: name,
+            domain: 'a',
+            isSharded,
+          }),
+        ),
+      )
+    const cluster = new GatewayCluster(store, await start('notes', true), await start('orders', false))
+    for (const each of cluster.targets) cluster.#addresses.set(each, await forward(each.address))
+    cluster.#register()
+    const storeAddress = await forward(store.address)
+    for (let index = 0; index < hosts; index += 1) {
+      await cluster.#startHost(`host-${String(index)}`, storeAddress)
+    }
+    await cluster.until(async () =>
+      (await Promise.all(cluster.hosts.map((host) => host.isReady()))).every(Boolean),
+    )
+    await cluster.until(() => cluster.areKeysHeld())
+    return cluster
+  }
+
+  get targets(): readonly KeyTargetServer[] {
+    return [...this.notes, ...this.orders]
+  }
+
+  /** Whether a sample of keys is held. */
+  areKeysHeld(): boolean {
+    return [0, 13_000, 26_000, 39_000, 52_000, 65_535].every((key) =>
+      this.notes.some((target) => target.holdsKey(key)),
+    )
+  }
+
+  /** Starts another process on the addresses of one that has ended. */
+  restart(host: GatewayProcess): GatewayProcess {
+    const started = new GatewayProcess(host.options)
+    this.hosts[this.hosts.indexOf(host)] = started
+    return started
+  }
+
+  /** Rejects when the condition does not hold in time. */
+  async until(condition: () => boolean | Promise<boolean>): Promise<void> {
+    const endMs = performance.now() + conditionTimeoutMs
+    while (!(await condition())) {
+      if (performance.now() > endMs) throw new Error('cluster.until: the condition did not hold in time')
+      await new Promise((resolve) => setTimeout(resolve, 50))
+    }
+  }
+
+  async stop(): Promise<void> {
+    clearInterval(this.#beat)
+    for (const host of this.hosts) {
+      host.signal('SIGCONT')
+      host.signal('SIGKILL')
+    }
+    await Promise.all(this.hosts.map(({ exited }) => exited))
+    for (const target of this.targets) target.close()
+    this.store.close()
+    rmSync(this.#folder, { recursive: true })
+  }
+
+  #register(): void {
+    this.#sequence += 1
+    for (const target of this.targets) {
+      if (target.isSilent) continue
+      const entry = target.entry(this.#sequence, this.#addresses.get(target))
+      this.store.store.write('servers', target.id, entry)
+    }
+  }
+
+  async #startHost(name: string, storeAddress: string): Promise<void> {
+    const ports = await freePorts(4)
+    const settingsPath = join(this.#folder, `${name}.toml`)
+    writeFileSync(settingsPath, settingsText({ name, ports, storeAddress }))
+    const [port = 0, readyPort = 0] = ports
+    this.hosts.push(new GatewayProcess({ name, settingsPath, port, readyPort }))
+  }
+}
--- /dev/null
+++ b/packages/standins/src/gateway-process.test.ts
@@ -0,0 +1,187 @@
+/** The daemons of the users' platform as real processes, against a stand-in store and targets. */
+import assert from 'node:assert/strict'
+import { Agent, request as httpRequest } from 'node:http'
+import { test } from 'node:test'
+import { PlatformStore } from '@pimentotally/platform'
+import { GatewayCluster, type GatewayProcess } from './gateway-cluster.js'
+import { RowStoreServer, StoreFault } from './row-store-server.js'
+
+interface Answer {
+  readonly status: number
+  readonly body: string
+  readonly requestId: string
+}
+
+let requests = 0
+
+/** Resolves with status 0 when the connection ends without an answer. */
+const call = (host: GatewayProcess, path: string, key?: number, agent?: Agent): Promise<Answer> => {
+  requests += 1
+  const requestId = `r-${String(requests)}`
+  return new Promise((resolve) => {
+    const outgoing = httpRequest(
+      {
+        host: '127.0.0.1',
+        port: host.port,
+        path,
+        method: path.startsWith('/orders') ? 'POST' : 'GET',
+        agent,
+        headers: {
+          host: 'shop.example',
+          'x-request-id': requestId,
+          'x-deadline-ms': '3000',
+          ...(key === undefined ? {} : { 'x-shard-key': String(key) }),
+        },
+      },
+      (incoming) => {
+        const chunks: Buffer[] = []
+        incoming.on('data', (chunk: Buffer) => chunks.push(chunk))
+        incoming.on('error', () => {
+          resolve({ status: 0, body: '', requestId })
+        })
+        incoming.on('end', () => {
+          resolve({ status: incoming.statusCode ?? 0, body: Buffer.concat(chunks).toString(), requestId })
+        })
+      },
+    )
+    outgoing.on('error', () => {
+      resolve({ status: 0, body: '', requestId })
+    })
+    outgoing.end()
+  })
+}
+
+const hostAt = (cluster: GatewayCluster, index: number): GatewayProcess => {
+  const host = cluster.hosts[index]
+  assert.ok(host)
+  return host
+}
+
+/** No unsafe request ran twice, no refusal was false, and every success is the caller's own. */
+const assertPromises = (cluster: GatewayCluster, answers: readonly Answer[]): void => {
+  const runs = new Map<string, number>()
+  for (const target of cluster.orders) {
+    for (const { requestId } of target.runs) runs.set(requestId, (runs.get(requestId) ?? 0) + 1)
+  }
+  for (const [requestId, count] of runs) assert.equal(count, 1, `${requestId} ran ${String(count)} times`)
+  for (const { status, body, requestId } of answers) {
+    if (status === 200) assert.equal(body, `answer to ${requestId}`)
+    if (status === 503 || status === 429)
+      assert.equal(runs.has(requestId), false, `${requestId} ran though refused`)
+  }
+}
+
+test('requests are served through every host, and a refusing store stops none of them', async (t) => {
+  const cluster = await GatewayCluster.start()
+  t.after(() => cluster.stop())
+  const answers: Answer[] = []
+  const round = async (): Promise<void> => {
+    for (let index = 0; index < 40; index += 1) {
+      const host = hostAt(cluster, index % 2)
+      const path = index % 4 === 0 ? '/orders/1' : '/notes/1'
+      answers.push(await call(host, path, path === '/notes/1' ? (index * 1637) % 65_536 : undefined))
+    }
+  }
+  await round()
+  assert.deepEqual(
+    answers.filter(({ status }) => status !== 200),
+    [],
+  )
+  cluster.store.fault = StoreFault.refuse
+  await round()
+  assert.deepEqual(
+    answers.filter(({ status }) => status !== 200),
+    [],
+  )
+  cluster.store.fault = StoreFault.none
+  assertPromises(cluster, answers)
+})
+
+test('a stop with requests in flight on kept connections cuts none of them', async (t) => {
+  const cluster = await GatewayCluster.start({ target: { workMs: 150 } })
+  t.after(() => cluster.stop())
+  const agent = new Agent({ keepAlive: true, maxSockets: 8 })
+  t.after(() => {
+    agent.destroy()
+  })
+  const stopping = hostAt(cluster, 0)
+  const answers: Answer[] = []
+  const callers = Array.from({ length: 8 }, async (_, caller) => {
+    for (let index = 0; index < 12; index += 1) {
+      if (!stopping.isRunning) return
+      answers.push(
+        await call(stopping, index % 3 === 0 ? '/orders/1' : '/notes/1', caller * 8000 + index, agent),
+      )
+    }
+  })
+  await cluster.until(() => answers.length >= 16)
+  stopping.signal('SIGTERM')
+  await Promise.all(callers)
+  assert.equal(await stopping.exited, 0)
+  // Status 0 is a request that crossed the close of its connection; it must not have run.
+  const ran = new Set(
+    [...cluster.orders, ...cluster.notes].flatMap(({ runs }) => runs.map((run) => run.requestId)),
+  )
+  for (const { status, requestId } of answers) {
+    assert.ok(status === 200 || (status === 0 && !ran.has(requestId)), `${requestId}: ${String(status)}`)
+  }
+  assertPromises(cluster, answers)
+})
+
+test('the keys of a killed leader’s targets are served on by another host', async (t) => {
+  const cluster = await GatewayCluster.start({ hosts: 3 })
+  t.after(() => cluster.stop())
+  const leader = cluster.hosts.find(({ lines }) => lines.some((line) => line.includes('"leader.elected"')))
+  assert.ok(leader)
+  leader.signal('SIGKILL')
+  await leader.exited
+  const other = cluster.hosts.find(({ isRunning }) => isRunning)
+  assert.ok(other)
+  await cluster.until(() => other.lines.some((line) => /"leader.changed".*"term":2/.test(line)))
+  const answers: Answer[] = []
+  for (let key = 0; key < 65_536; key += 3000) answers.push(await call(other, '/notes/1', key))
+  assert.deepEqual(
+    answers.filter(({ status }) => status !== 200),
+    [],
+  )
+})
+
+test('the store client reads pages, follows changes, and tells a lost write from a refused one', async (t) => {
+  const server = await RowStoreServer.start()
+  const store = new PlatformStore({ address: server.address, timeoutMs: 2000 })
+  t.after(() => {
+    store.close()
+    server.close()
+  })
+  for (let index = 0; index < 1203; index += 1)
+    server.store.write('t', `k${String(index).padStart(5, '0')}`, Buffer.from('v'))
+  const read = await store.snapshot('t')
+  assert.ok(read.isOk && read.value.rows.length === 1203)
+  const { version } = read.value
+  const waiting = store.changes('t', version, 2000)
+  const row = { table: 't', key: 'new' }
+  const committed = await store.commit({
+    conditions: [{ ...row, version: 0 }],
+    writes: [{ ...row, value: Buffer.from('bytes') }],
+  })
+  assert.ok(committed.isOk)
+  const changes = await waiting
+  assert.ok(changes.isOk)
+  assert.deepEqual(
+    changes.value.rows.map((change) => ('deleted' in change ? '' : change.value.toString())),
+    ['bytes'],
+  )
+  const again = await store.commit({ conditions: [{ ...row, version: 0 }], writes: [] })
+  assert.equal(again.isErr && again.error.code, 'conflict')
+  server.fault = StoreFault.refuse
+  const refused = await store.commit({ conditions: [], writes: [] })
+  assert.equal(refused.isErr && refused.error.code, 'unavailable')
+  server.fault = StoreFault.loseWrites
+  const lost = await store.commit({ conditions: [], writes: [{ ...row, value: Buffer.from('2') }] })
+  assert.equal(lost.isErr && lost.error.code, 'unknown')
+  server.fault = StoreFault.none
+  server.store.forgetHistory()
+  server.store.write('t', 'later', Buffer.from(''))
+  const forgotten = await store.changes('t', version, 0)
+  assert.equal(forgotten.isErr && forgotten.error.code, 'history_lost')
+})
--- /dev/null
+++ b/packages/standins/src/key-target-server.ts
@@ -0,0 +1,196 @@
+/**
+ * A stand-in for a target of the users' platform: it works in slots with a short queue, runs a request only while it
+ * holds its key, and keeps a record of what it ran, from which a test judges the promises.
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+
+export interface KeyTargetOptions {
+  readonly id: string
+  readonly service: string
+  readonly domain: string
+  readonly slots?: number
+  readonly queue?: number
+  readonly workMs?: number
+  /** Divided by key; otherwise every request may run. */
+  readonly isSharded?: boolean
+}
+
+interface Hold {
+  readonly from: number
+  readonly to: number
+  readonly fence: number
+  readonly untilMs: number
+}
+
+/** One run of a request. */
+export interface TargetRun {
+  readonly requestId: string
+  readonly target: string
+  readonly key: number | undefined
+  readonly startedAtMs: number
+}
+
+const readBody = async (request: IncomingMessage): Promise<string> => {
+  const chunks: Buffer[] = []
+  for await (const chunk of request as AsyncIterable<Buffer>) chunks.push(chunk)
+  return Buffer.concat(chunks).toString()
+}
+
+const header = (request: IncomingMessage, name: string): string | undefined => {
+  const value = request.headers[name]
+  return typeof value === 'string' ? value : undefined
+}
+
+export class KeyTargetServer {
+  readonly runs: TargetRun[] = []
+  /** Lapsed holds included. */
+  holds: Hold[] = []
+  isDraining = false
+  /** Accepts connections and answers nothing. */
+  isSilent = false
+  readonly #options: Required<KeyTargetOptions>
+  readonly #server: Server
+  readonly #waiting: (() => void)[] = []
+  #running = 0
+  #address = ''
+
+  private constructor(options: KeyTargetOptions) {
+    this.#options = { slots: 4, queue: 8, workMs: 20, isSharded: false, ...options }
+    this.#server = createServer((request, response) => {
+      this.#handle(request, response).catch(() => {
+        response.destroy()
+      })
+    })
+  }
+
+  static async start(options: KeyTargetOptions): Promise<KeyTargetServer> {
+    const server = new KeyTargetServer(options)
+    await new Promise<void>((resolve) => server.#server.listen(0, '127.0.0.1', resolve))
+    server.#address = `127.0.0.1:${String((server.#server.address() as AddressInfo).port)}`
+    return server
+  }
+
+  get id(): string {
+    return this.#options.id
+  }
+
+  get address(): string {
+    return this.#address
+  }
+
+  /** The entry that the target writes about itself; `address` may be one that forwards to it. */
+  entry(sequence: number, address = this.#address): Buffer {
+    const { service, domain, slots } = this.#options
+    return Buffer.from(
+      JSON.stringify({
+        address,
+        born: 1_700_000_000_000,
+        info: { service, version: 'v1', zone: domain, slots },
+        status: { state: this.isDraining ? 'draining' : 'ready', sequence, coldRemaining: '0ms' },
+      }),
+    )
+  }
+
+  holdsKey(key: number): boolean {
+    const nowMs = performance.now()
+    return this.holds.some(({ from, to, untilMs }) => from <= key && key <= to && untilMs > nowMs)
+  }
+
+  close(): void {
+    this.#server.close()
+    this.#server.closeAllConnections()
+  }
+
+  async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = await readBody(request)
+    if (this.isSilent) return
+    switch (request.url) {
+      case '/grant':
+        this.#grant(JSON.parse(body) as Record<string, unknown>, response)
+        return
+      case '/release':
+        this.#release(JSON.parse(body) as Record<string, unknown>, response)
+        return
+      case '/healthz':
+        this.#answer(request, response, this.isDraining ? 503 : 200, '')
+        return
+      default:
+        await this.#serve(request, response)
+    }
+  }
+
+  #grant(body: Record<string, unknown>, response: ServerResponse): void {
+    const [from, to, fence] = [Number(body.rangeStart), Number(body.target), Number(body.fence)]
+    if (this.holds.some((hold) => hold.from <= to && from <= hold.to && hold.fence > fence)) {
+      response.writeHead(409).end()
+      return
+    }
+    const holdMs = Number(String(body.hold_time).replace('ms', ''))
+    this.#drop(from, to)
+    this.holds.push({ from, to, fence, untilMs: performance.now() + holdMs })
+    response.writeHead(200).end()
+  }
+
+  #release(body: Record<string, unknown>, response: ServerResponse): void {
+    this.#drop(Number(body.rangeStart), Number(body.target))
+    response.writeHead(200, { 'x-lease-handover': 'handed-over' }).end()
+  }
+
+  #drop(from: number, to: number): void {
+    this.holds = this.holds.flatMap((hold) => {
+      if (hold.to < from || hold.from > to) return [hold]
+      const parts: Hold[] = []
+      if (hold.from < from) parts.push({ ...hold, to: from - 1 })
+      if (hold.to > to) parts.push({ ...hold, from: to + 1 })
+      return parts
+    })
+  }
+
+  async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { id, slots, queue, isSharded } = this.#options
+    const field = header(request, 'x-shard-key')
+    const key = field === undefined ? undefined : Number(field)
+    const holds = !isSharded || (key !== undefined && this.holdsKey(key))
+    if (header(request, 'x-target-instance') !== id || !holds) {
+      this.#answer(request, response, 421, '', { 'x-not-executed': '1' })
+      return
+    }
+    if (this.#running >= slots && this.#waiting.length >= queue) {
+      this.#answer(request, response, 503, '', { 'x-not-executed': '1' })
+      return
+    }
+    if (this.#running >= slots) await new Promise<void>((resolve) => this.#waiting.push(resolve))
+    else this.#running += 1
+    if (!response.destroyed) await this.#run(request, response, key)
+    const next = this.#waiting.shift()
+    if (next === undefined) this.#running -= 1
+    else next()
+  }
+
+  async #run(request: IncomingMessage, response: ServerResponse, key: number | undefined): Promise<void> {
+    const requestId = header(request, 'x-request-id') ?? ''
+    this.runs.push({ requestId, target: this.#options.id, key, startedAtMs: performance.now() })
+    await new Promise((resolve) => setTimeout(resolve, this.#options.workMs))
+    this.#answer(request, response, 200, `answer to ${requestId}`)
+  }
+
+  #answer(
+    request: IncomingMessage,
+    response: ServerResponse,
+    status: number,
+    body: string,
+    headers: Record<string, string> = {},
+  ): void {
+    if (response.destroyed) return
+    response
+      .writeHead(status, {
+        'x-request-id': header(request, 'x-request-id') ?? '',
+        'x-response-signature': 'signed',
+        'x-instance-id': this.#options.id,
+        'x-instance-load': [this.#running, this.#waiting.length, this.#options.slots, 100].join(','),
+        ...headers,
+      })
+      .end(body)
+  }
+}
--- /dev/null
+++ b/packages/standins/src/row-store-server.ts
@@ -0,0 +1,148 @@
+/**
+ * A stand-in for the users' store over HTTP: conditional transactions, reads and a change feed on tables in memory. It
+ * can refuse calls, stay silent, lose answers after the write took effect, and forget its history.
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { MemoryRowStore, type RowTransaction } from '@pimentotally/storage'
+
+export const StoreFault = {
+  none: 'none',
+  refuse: 'refuse',
+  silent: 'silent',
+  loseWrites: 'lose-writes',
+} as const
+export type StoreFault = (typeof StoreFault)[keyof typeof StoreFault]
+
+interface WireRow {
+  readonly tableName: string
+  readonly key: string
+  readonly ver?: number
+  readonly value?: string
+}
+
+interface WireTransaction {
+  readonly expectedRev: readonly WireRow[]
+  readonly writes: readonly WireRow[]
+  readonly remove: readonly WireRow[]
+}
+
+const decode = ({ expectedRev, writes, remove }: WireTransaction): RowTransaction => ({
+  conditions: expectedRev.map(({ tableName, key, ver = 0 }) => ({ table: tableName, key, version: ver })),
+  writes: writes.map(({ tableName, key, value = '' }) => ({
+    table: tableName,
+    key,
+    value: Buffer.from(value, 'base64'),
+  })),
+  deletes: remove.map(({ tableName, key }) => ({ table: tableName, key })),
+})
+
+export class RowStoreServer {
+  readonly store = new MemoryRowStore()
+  fault: StoreFault = StoreFault.none
+  /** Calls by path, refused ones included. */
+  readonly calls = new Map<string, number>()
+  readonly #server: Server
+  #address = ''
+
+  private constructor() {
+    this.#server = createServer((request, response) => {
+      void this.#handle(request, response)
+    })
+  }
+
+  /** Listens on a free port of the loopback address. */
+  static async start(): Promise<RowStoreServer> {
+    const server = new RowStoreServer()
+    await new Promise<void>((resolve) => server.#server.listen(0, '127.0.0.1', resolve))
+    server.#address = `127.0.0.1:${String((server.#server.address() as AddressInfo).port)}`
+    return server
+  }
+
+  get address(): string {
+    return this.#address
+  }
+
+  close(): void {
+    this.#server.close()
+    this.#server.closeAllConnections()
+  }
+
+  async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const chunks: Buffer[] = []
+    for await (const chunk of request as AsyncIterable<Buffer>) chunks.push(chunk)
+    const { pathname, searchParams } = new URL(request.url ?? '/', 'http://store')
+    this.calls.set(pathname, (this.calls.get(pathname) ?? 0) + 1)
+    if (this.fault === StoreFault.silent) return
+    if (this.fault === StoreFault.refuse) {
+      response.writeHead(503).end()
+      return
+    }
+    if (pathname === '/rows-tx') this.#commit(Buffer.concat(chunks).toString(), response)
+    else if (pathname === '/rows-get') this.#read(searchParams, response)
+    else if (pathname === '/rows-feed') await this.#feed(searchParams, response)
+    else response.writeHead(404).end()
+  }
+
+  #commit(text: string, response: ServerResponse): void {
+    const version = this.store.commit(decode(JSON.parse(text) as WireTransaction))
+    if (this.fault === StoreFault.loseWrites) response.destroy()
+    else if (version === undefined) this.#answer(response, 412, { rows: [] })
+    else this.#answer(response, 200, {})
+  }
+
+  #read(query: URLSearchParams, response: ServerResponse): void {
+    const from = query.get('rangeStart') ?? ''
+    const limit = Number(query.get('pageSize') ?? 500)
+    const rows = this.store.rows(query.get('tableName') ?? '').filter(({ key }) => key >= from)
+    const page = rows.slice(0, limit)
+    this.#answer(response, 200, {
+      rows: page.map(({ key, value, version }) => ({ key, value: value.toString('base64'), ver: version })),
+      hasMore: rows.length > page.length,
+    })
+  }
+
+  async #feed(query: URLSearchParams, response: ServerResponse): Promise<void> {
+    const after = Number(query.get('after'))
+    const name = query.get('tableName') ?? ''
+    const endMs = performance.now() + Number(query.get('waitMs') ?? 0)
+    while (
+      this.store.changes(name, after)?.length === 0 &&
+      performance.now() < endMs &&
+      !response.destroyed
+    ) {
+      await new Promise<void>((resolve) => {
+        const done = (): void => {
+          stopWaiting()
+          clearTimeout(timer)
+          resolve()
+        }
+        const stopWaiting = this.store.onChange(done)
+        const timer = setTimeout(done, Math.max(1, endMs - performance.now()))
+      })
+    }
+    const changes = this.store.changes(name, after)
+    if (changes === undefined) {
+      response.writeHead(410).end()
+      return
+    }
+    this.#answer(response, 200, {
+      rows: changes.map((row) =>
+        'deleted' in row
+          ? { key: row.key, ver: row.version, deleted: true }
+          : { key: row.key, ver: row.version, value: row.value.toString('base64') },
+      ),
+    })
+  }
+
+  #answer(response: ServerResponse, status: number, body: object): void {
+    if (response.destroyed) return
+    response.writeHead(status, { 'content-type': 'application/json' }).end(
+      JSON.stringify({
+        ...body,
+        ver: this.store.version,
+        serverTime: `${String(Math.round(performance.now()))}ms`,
+      }),
+    )
+  }
+}
