Trust the fence of a release; let owners of keys queue into the slack; predict slowdowns that end

The queue limit refused many requests of keyed services though their owners had room soon after: a slowdown of the moment was taken to last. Change: settling is gone; owners of keys may queue for 0.4 of the time between objective and end, where the leader's shares bound lasting overload; other services keep 0.95.

--- a/packages/assignment/src/election.ts
+++ b/packages/assignment/src/election.ts
@@ -14,8 +14,6 @@
   readonly renewal: number
   /** The leader has given its lease up and sends no more grants. */
   readonly released: boolean
-  /** From a release on, how long a grant without an answer may still be applied late, in milliseconds. */
-  readonly unsettledMs: number
 }
 
 export interface LeaseTimes {
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -113,7 +113,6 @@
       directory,
       processId: this.#processId,
       peerAddress: `${ip}:${String(peerPort)}`,
-      unsettledMs: () => this.#keys.unsettledMs(),
       turn: random.float(),
     })
     this.#keys = new KeyControl({
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -277,7 +277,7 @@
     }
     const coldWaitMs = this.#coldWaitMs(target)
     if (coldWaitMs > 0) return { refusal: { reason: 'owner_cold', retryAfterMs: coldWaitMs, inputs } }
-    return this.#admitTo(target, this.#predict(target))
+    return this.#admitTo(target, this.#predict(target), true)
   }
 
   #selectAny(): Selection {
@@ -312,7 +312,7 @@
         ? { refusal: { reason: 'targets_cold', retryAfterMs: coldWaitMs } }
         : { refusal: { reason: 'no_target', retryAfterMs: defaultRetryAfterMs } }
     }
-    return this.#admitTo(chosen.target.target, chosen.target.predicted)
+    return this.#admitTo(chosen.target.target, chosen.target.predicted, false)
   }
 
   #coldWaitMs(target: KnownTarget): number {
@@ -342,7 +342,7 @@
     })
   }
 
-  #admitTo(target: KnownTarget, predicted: Prediction): Selection {
+  #admitTo(target: KnownTarget, predicted: Prediction, isOwner: boolean): Selection {
     const { route, service } = this.#inbound.match
     const admission = admit({
       ...predicted,
@@ -350,6 +350,7 @@
       objectiveMs: route.objectiveMs,
       leftMs: this.#leftMs(),
       rank: this.#options.directory.rank(service.name, route.priority),
+      isOwner,
     })
     return admission.admitted
       ? { target, predicted }
--- a/packages/gateway/src/key-control.ts
+++ b/packages/gateway/src/key-control.ts
@@ -65,15 +65,10 @@
     return Object.fromEntries([...this.#keepers.values()].flatMap((keeper) => [...keeper.shares]))
   }
 
-  /** How long a grant without an answer may still be applied late, in milliseconds. */
-  unsettledMs(): number {
-    return Math.max(0, ...[...this.#keepers.values()].map((keeper) => keeper.unsettledMs()))
-  }
-
   /** No grant is sent after this call. */
   stop(): void {
     this.#stopped = true
-    for (const keeper of this.#keepers.values()) keeper.close()
+    this.#closeKeepers()
   }
 
   async #tick(tenure: Tenure): Promise<void> {
--- a/packages/gateway/src/key-keeper.ts
+++ b/packages/gateway/src/key-keeper.ts
@@ -15,6 +15,7 @@
   findRange,
   imbalanceTolerance,
   initialAssignment,
+  lapseMs,
   mergeRanges,
   placeHotKey,
   reassign,
@@ -111,9 +112,6 @@
   readonly #moves = new Map<number, Move>()
   /** No grant of a predecessor lasts longer. */
   readonly #inheritedLapseMs: number
-  /** No unanswered grant of a predecessor can be applied late from then on. */
-  readonly #settledAtMs: number
-  #grantsUnderWay = 0
   #assignment: Assignment | undefined
   #shares: ReadonlyMap<string, number> = new Map()
   #version = 0
@@ -128,9 +126,7 @@
     const { tenure, maxHoldMs } = options
     // A predecessor that lost the store may have extended its grants at the end of its lease.
     const hold = { none: 0, released: grantHoldMs, lapsed: maxHoldMs }[tenure.predecessor]
-    this.#inheritedLapseMs = hold === 0 ? 0 : tenure.startedAtMs + hold * 1.02 + grantTimeoutMs + 150
-    this.#settledAtMs =
-      tenure.predecessor === 'released' ? tenure.startedAtMs + tenure.unsettledMs : this.#inheritedLapseMs
+    this.#inheritedLapseMs = hold === 0 ? 0 : lapseMs(tenure.startedAtMs + grantTimeoutMs, hold)
   }
 
   /** Which part of the requests for a target's keys may be sent to it; all of them where nothing is said. */
@@ -150,14 +146,6 @@
     this.#closed = true
   }
 
-  /** How long a grant without an answer may still be applied late, in milliseconds. */
-  unsettledMs(): number {
-    const nowMs = this.#options.clock.monotonicMs()
-    const underWayMs = this.#grantsUnderWay > 0 ? grantTimeoutMs + this.#options.maxHoldMs * 1.02 : 0
-    const holds = [...this.#holds.values()].map((hold) => hold.settledAtMs(nowMs) - nowMs)
-    return Math.max(underWayMs, this.#settledAtMs - nowMs, 0, ...holds)
-  }
-
   /** Called several times a second. */
   async tick(): Promise<void> {
     if (this.#closed || this.#options.remainingMs() <= 0) return
@@ -220,13 +208,11 @@
     const room = maxMovesAtOnce - moving
     let changes: Reassignment[] = renewed
     let reason = 'new_life'
-    // A stored move says that no unanswered grant of the range was left; whoever takes over may go on with it at once.
-    const settled = nowMs >= this.#settledAtMs
-    if (changes.length === 0 && room > 0 && settled) {
+    if (changes.length === 0 && room > 0) {
       changes = evacuateRanges(current, targets, keyLoad, { maxMoves: room, except: pinned })
       reason = 'owner_leaves'
     }
-    if (changes.length === 0 && moving === 0 && settled && nowMs - this.#balancedAtMs > balanceEveryMs) {
+    if (changes.length === 0 && moving === 0 && nowMs - this.#balancedAtMs > balanceEveryMs) {
       this.#balancedAtMs = nowMs
       const hot = placeHotKey(current, targets, keyLoad)
       const tolerance = imbalanceTolerance(utilization)
@@ -261,8 +247,8 @@
   }
 
   /**
-   * Owners whose ranges cannot move now. A grant without an answer may still be applied; a silent owner that left the
-   * register may come back, and a move would keep it from serving its keys. Load pattern: a failure domain is cut off
+   * Owners whose ranges cannot move now: a silent owner that left the register may come back, and a move would keep it
+   * from serving its keys. Load pattern: a failure domain is cut off
    * for some seconds.
    */
   #pinned(assignment: Assignment, nowMs: number): ReadonlySet<string> {
@@ -283,7 +269,6 @@
       nowMs >= holds.lapsesAtMs
     )
       return false
-    if (holds.settledAtMs(nowMs) > nowMs) return true
     if (this.#target(owner) !== undefined || known === undefined) return known === undefined
     const vanished = this.#vanished.get(owner) ?? { wasSilent: false, answersSinceMs: undefined }
     this.#vanished.set(owner, vanished)
@@ -454,8 +439,8 @@
         { from: range.from, to: range.to, fence: range.fence, timeoutMs: releaseTimeoutMs },
       )
       if (released.isOk && released.value.released) {
-        const atMs = holds.freeAfterReleaseMs(range, clock.monotonicMs())
-        return { atMs, handover: released.value.handover }
+        // The release carries the new fence, so the target refuses grants that are still on their way.
+        return { atMs: clock.monotonicMs(), handover: released.value.handover }
       }
       if (attempt === 0) {
         logger.warn('keys.release_failed', {
@@ -558,14 +543,12 @@
     const { calls, clock, logger, service } = this.#options
     const holds = this.#holdsOf(target.id)
     const { from, to, fence } = range
-    this.#grantsUnderWay += 1
     const result = await calls.grant(target, { from, to, fence, holdMs, handover, timeoutMs: grantTimeoutMs })
-    this.#grantsUnderWay -= 1
     const nowMs = clock.monotonicMs()
     const outcome = result.isOk ? result.value : undefined
     if (outcome === undefined || outcome === GrantOutcome.granted) {
       const notSent = result.isErr && result.error.code === 'not_sent'
-      if (!notSent) holds.granted(range, nowMs, holdMs, outcome !== undefined)
+      if (!notSent) holds.granted(nowMs, holdMs)
     }
     if (outcome === GrantOutcome.granted) {
       this.#silentSinceMs.delete(target.id)
--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -36,8 +36,6 @@
   /** Unique for each start of the process. */
   readonly processId: string
   readonly peerAddress: string
-  /** How long a grant of this host without an answer may still be applied late. */
-  readonly unsettledMs: () => number
   /** Offset among the hosts that wait for the same lease, from 0 to 1. */
   readonly turn: number
 }
@@ -47,8 +45,6 @@
   readonly term: number
   /** The predecessor gave its lease up, so that its last grants are bounded by its normal hold. */
   readonly predecessor: 'none' | 'released' | 'lapsed'
-  /** For a predecessor that gave up, how long its unanswered grants may still be applied, from the start. */
-  readonly unsettledMs: number
   readonly startedAtMs: number
 }
 
@@ -120,7 +116,6 @@
       term: (seen?.record.term ?? 0) + 1,
       renewal: 1,
       released: false,
-      unsettledMs: 0,
     }
     const sentAt = this.#reading()
     if (!(await this.#write(record, seen?.version ?? 0))) return
@@ -130,7 +125,6 @@
     this.#tenure = {
       term: record.term,
       predecessor,
-      unsettledMs: seen?.record.unsettledMs ?? 0,
       startedAtMs: clock.monotonicMs(),
     }
     this.#options.logger.info('leader.elected', { ...this.#tenure, rowVersion: this.#rowVersion })
@@ -169,9 +163,7 @@
     this.#lose(reason)
     this.#abstainUntilMs = this.#options.clock.monotonicMs() + abstainMs
     this.#releaseRequested = undefined
-    if (record === undefined) return
-    const unsettledMs = Math.ceil(this.#options.unsettledMs())
-    await this.#write({ ...record, released: true, unsettledMs }, this.#rowVersion)
+    if (record !== undefined) await this.#write({ ...record, released: true }, this.#rowVersion)
   }
 
   #lose(reason: string, successor?: string): void {
--- a/packages/gateway/src/own-rows.ts
+++ b/packages/gateway/src/own-rows.ts
@@ -25,8 +25,7 @@
       typeof record.leader === 'string' &&
       typeof record.peerAddress === 'string' &&
       Number.isInteger(record.term) &&
-      Number.isInteger(record.renewal) &&
-      Number.isFinite(record.unsettledMs)
+      Number.isInteger(record.renewal)
     return valid ? record : undefined
   } catch {
     return undefined
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -18,6 +18,8 @@
   readonly leftMs: number
   /** 0 for the most urgent requests of the service, 1 for the next, and so on. */
   readonly rank: number
+  /** No other target can take the request; the leader keeps lasting overload from it. */
+  readonly isOwner: boolean
 }
 
 export type Admission =
@@ -31,6 +33,11 @@
 
 /** Predicted time, as a share of the objective, up to which the most urgent requests wait for a slot. */
 const urgentShare = 0.95
+/**
+ * Where only one target can take a request, it may wait longer by this share of the time between objective and end: a
+ * queue there is short-lived, as the leader lends shares where it would last, and late is better than never.
+ */
+const ownerSlackShare = 0.4
 /** The same falls by this for each less urgent rank. */
 const rankStep = 0.15
 const lowestShare = 0.5
@@ -54,6 +61,7 @@
   objectiveMs,
   leftMs,
   rank,
+  isOwner,
 }: AdmissionInput): Admission => {
   const predictedMs = workMs + waitMs
   if (waitMs <= 0) {
@@ -62,7 +70,8 @@
   const latestMs = leftMs * usableShare
   if (predictedMs > latestMs) return refuse('deadline', Math.min(waitMs, predictedMs - latestMs))
   if (objectiveMs <= 0) return { admitted: true }
-  const limitMs = objectiveMs * Math.max(lowestShare, urgentShare - rank * rankStep)
+  const slackMs = isOwner ? ownerSlackShare * Math.max(0, elapsedMs + leftMs - objectiveMs) : 0
+  const limitMs = objectiveMs * Math.max(lowestShare, urgentShare - rank * rankStep) + slackMs
   const excessMs = elapsedMs + predictedMs - limitMs
   return excessMs <= 0 ? { admitted: true } : refuse('overloaded', Math.min(waitMs, excessMs))
 }
--- a/packages/routing/src/load.ts
+++ b/packages/routing/src/load.ts
@@ -19,6 +19,8 @@
 const slowdownMemoryMs = 400
 /** Weight of a new observation in a moving average. */
 const learningRate = 0.1
+/** How long a slowdown that was reported just now goes on, on average. */
+const slowdownRestMs = 300
 /** Bounds for the learned speed of a target, as a factor on the work time. */
 const slowestFactor = 20
 const fastestFactor = 0.25
@@ -29,6 +31,12 @@
 
 const decay = (ageMs: number, memoryMs: number): number => Math.exp(-Math.max(0, ageMs) / memoryMs)
 
+/** Time for work that takes `usualMs` at the usual speed, when it starts in a slowdown that will end. */
+const stretched = (usualMs: number, slowdown: number): number => {
+  if (slowdown <= 1 || usualMs * slowdown <= slowdownRestMs) return usualMs * slowdown
+  return slowdownRestMs + usualMs - slowdownRestMs / slowdown
+}
+
 /** Expected work time of each route, learned from the responses of all targets. */
 export class WorkTimes {
   readonly #meanMs = new Map<string, number>()
@@ -133,8 +141,10 @@
   predict(nowMs: number, { workMs, slots, expectedOccupancy }: PredictionInput): Prediction {
     const ahead = Math.max(0, this.occupancy(nowMs, expectedOccupancy) + 1 - slots)
     const slowdown = this.momentarySlowdown(nowMs)
-    const expectedWorkMs = workMs * this.#speedFactor * slowdown
-    return { workMs: expectedWorkMs, waitMs: (expectedWorkMs * ahead) / slots, slowdown }
+    const usualMs = workMs * this.#speedFactor
+    const waitMs = stretched((usualMs * ahead) / slots, slowdown)
+    const totalMs = stretched((usualMs * ahead) / slots + usualMs, slowdown)
+    return { workMs: totalMs - waitMs, waitMs, slowdown }
   }
 }
 
