--- a/packages/standins/src/forwarder.ts
+++ b/packages/standins/src/forwarder.ts
@@ -4,6 +4,7 @@
  */
 import { createServer as createHttpServer, type Server as HttpServer } from 'node:http'
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { splitAddress } from '@pimentotally/http'
 
 export interface ForwarderOptions {
   /** IP address and port. */
@@ -22,11 +23,6 @@
   readonly dropped: Set<Direction>
 }
 
-const splitAddress = (address: string): { host: string; port: number } => {
-  const colon = address.lastIndexOf(':')
-  return { host: address.slice(0, colon).replace(/^\[|\]$/g, ''), port: Number(address.slice(colon + 1)) }
-}
-
 const listen = async (server: Server | HttpServer, host: string, port: number): Promise<string> => {
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
--- /dev/null
+++ b/packages/standins/src/gateway-soak-main.ts
@@ -0,0 +1,23 @@
+/** Runs the soak by hand: `node packages/standins/dist/gateway-soak-main.js --seeds 50 [--from SEED]`. */
+import { randomInt } from 'node:crypto'
+import yargs from 'yargs'
+import { runSoak } from './gateway-soak.js'
+
+const args = await yargs(process.argv.slice(2))
+  .option('seeds', { type: 'number', default: 5, describe: 'Number of seeds' })
+  .option('from', { type: 'number', describe: 'First seed; a fresh one by default' })
+  .option('faults', { type: 'number', default: 8, describe: 'Faults of each seed' })
+  .strict()
+  .parse()
+
+const first = args.from ?? randomInt(1e6)
+let failed = 0
+for (let seed = first; seed < first + args.seeds; seed += 1) {
+  const report = await runSoak({ seed, faults: args.faults })
+  if (report.violations.length > 0) failed += 1
+  process.stdout.write(`${JSON.stringify(report)}\n`)
+}
+process.stdout.write(
+  `${String(args.seeds)} seeds from ${String(first)}, ${String(failed)} with a broken promise\n`,
+)
+process.exitCode = failed > 0 ? 1 : 0
