Notice within the configuration bound that the leader's store has gone silent

Change: the leader's feed calls wait 0.9 s, a copy is passed on for 1.4 s at most after it was confirmed, and a follower's wait ends with that time.

--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -27,10 +27,10 @@
 
 /** Half of the time within which a leaving target may still get requests. */
 const registerIntervalShare = 0.45
-/** Below the shortest bound on configuration and evacuation, if a call goes silent. */
-const feedWaitMs = 2500
+/** Configurations are in force within two seconds; a leader that was cut off must be noticed well before. */
+const feedWaitMs = 900
 /** Allowed beyond the wait of a feed before a copy is too old to be passed on. */
-const maxRelayDelayMs = 700
+const maxRelayDelayMs = 500
 /** The load balancer takes a host out after two misses, a second apart. */
 const lameDuckMs = 2400
 /** Between the last cut and the end that the platform forces. */
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -40,10 +40,12 @@
   clock: Clock,
 ): Promise<PeerAnswer> => {
   const after = Number(query.get('after'))
-  const waitMs = Math.min(relayWaitMs, Number(query.get('waitMs')) || 0)
   if (!Number.isSafeInteger(after)) return { status: 400 }
   const isCurrent = (): boolean => !replica.isFailing && (replica.ageMs() ?? Infinity) <= maxAgeMs
   if (!isCurrent()) return { status: 503 }
+  // No longer than the copy stays current, if the store does not answer this host any more.
+  const currentForMs = maxAgeMs - (replica.ageMs() ?? 0) + 1
+  const waitMs = Math.min(relayWaitMs, currentForMs, Number(query.get('waitMs')) || 0)
   if (log.since(after)?.length === 0 && waitMs > 0) {
     await new Promise<void>((resolve) => {
       const stopWaiting = log.onChange(() => {
--- a/packages/gateway/src/replica.test.ts
+++ b/packages/gateway/src/replica.test.ts
@@ -102,6 +102,27 @@
   assert.equal((await ask(followed, followed.log.version)).status, 503)
 })
 
+test('a follower learns within the age limit that its leader’s store has gone silent', async () => {
+  const followed = follow()
+  const { time, store, relayed, log } = followed
+  await time.advance(1000)
+  store.isSilent = true
+  const query = new URLSearchParams({ after: String(log.version), waitMs: '1000' })
+  // Asks again whenever it is answered, as a follower does.
+  let refusedAtMs: number | undefined
+  const silentAtMs = time.nowMs()
+  const asking = (async () => {
+    while ((await answerRelay(relayed, query, time.clock())).status === 200);
+    refusedAtMs = time.nowMs()
+  })()
+  await time.advance(4000)
+  await asking
+  assert.ok(
+    refusedAtMs !== undefined && refusedAtMs - silentAtMs <= relayed.maxAgeMs + 10,
+    String(refusedAtMs),
+  )
+})
+
 test('rows that change in nothing that others need wake no follower', () => {
   const log = new ChangeLog({ isRelevant: (row, previous) => !previous?.value.equals(row.value) })
   const row = (version: number, text: string) => ({ key: 'a', version, value: Buffer.from(text) })
