--- a/packages/assignment/src/target-speeds.ts
+++ b/packages/assignment/src/target-speeds.ts
@@ -25,9 +25,11 @@
 
 /** With room, work is shared as if fast targets were faster still; near the limit every target is needed. */
 const spareExponent = 2
+/** In proportion to their speed. */
 const fullExponent = 1
 /** Utilization up to which there is room, and from which there is none. */
 const spareUtilization = 0.5
+/** From here on no target can be spared. */
 const fullUtilization = 0.85
 
 /**
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -10,8 +10,11 @@
 
 /** Node fixes this limit at creation; the operator's own limit may be lower. */
 const maxHeaderBytes = 64 * 1024
+/** Until the first configuration. */
 const defaultIdleTimeoutMs = 15_000
+/** Until the first configuration. */
 const defaultHeaderTimeoutMs = 10_000
+/** A host that starts reads the store within this time. */
 const notReadyRetryAfterMs = 500
 
 export interface CallerServerOptions {
--- a/packages/gateway/src/change-log.ts
+++ b/packages/gateway/src/change-log.ts
@@ -4,6 +4,7 @@
 
 type Change = TableChanges['rows'][number]
 
+/** Some seconds of changes of the largest deployment. */
 const maxChanges = 4000
 
 export interface ChangeLogOptions {
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -33,6 +33,7 @@
 const defaultWorkMs = 100
 /** A request waits for a moving key no longer than this share of its objective; then it is refused. */
 const moveWaitShare = 0.12
+/** Most moves end within this time. */
 const maxMoveWaitMs = 150
 /** Where nothing better is known. */
 const defaultRetryAfterMs = 250
@@ -44,6 +45,7 @@
 const unsafeIdleMs = 1500
 /** The cost of a byte between failure domains, as a delay. */
 const distanceMs = 4
+/** The same for large answers. */
 const downloadDistanceMs = 25
 /** A draining owner still gets requests for its keys this long, while they move. */
 const drainingOwnerMs = 300
@@ -122,6 +124,7 @@
   readonly inputs?: Readonly<Record<string, unknown>>
 }
 
+/** From sending to the answer. */
 const totalMs = ({ workMs, waitMs }: Prediction): number => workMs + waitMs
 
 type Selection =
--- a/packages/gateway/src/key-control.ts
+++ b/packages/gateway/src/key-control.ts
@@ -7,6 +7,7 @@
 import { KeyKeeper } from './key-keeper.js'
 import type { Leadership, Tenure } from './leadership.js'
 
+/** Well below the interval of renewals. */
 const tickMs = 200
 /** A leader that reaches fewer targets leaves the lead to another host. */
 const maxSilentShare = 0.5
--- a/packages/gateway/src/key-keeper.ts
+++ b/packages/gateway/src/key-keeper.ts
@@ -39,17 +39,23 @@
 
 /** Outlasts the loss of the leader: its lease, the takeover and the first renewals. */
 export const grantHoldMs = 5500
+/** Several renewals fit into a hold. */
 const renewEveryMs = 1000
+/** Below the interval of renewals. */
 const grantTimeoutMs = 900
 /** A release is answered when the work on its keys has ended. */
 const releaseTimeoutMs = 1600
+/** Between two attempts to grant a moved range. */
 const regrantPauseMs = 200
+/** A probe may wait for a slot of a busy target. */
 const probeTimeoutMs = 500
 /** Two heartbeats and a read of the register. */
 const reentryMs = 2500
+/** Reports come twice a second, and a move has to show in them. */
 const balanceEveryMs = 700
 /** Targets register within this time of the first one. */
 const gatheringMs = 1500
+/** Requests for moving keys wait, so only a part of the keys moves at a time. */
 const maxMovesAtOnce = 24
 /** A cold target takes few requests, so it is given few keys. */
 const coldWeight = 0.4
@@ -262,8 +268,7 @@
 
   /**
    * Owners whose ranges cannot move now: a silent owner that left the register may come back, and a move would keep it
-   * from serving its keys. Load pattern: a failure domain is cut off
-   * for some seconds.
+   * from serving its keys. Load pattern: a failure domain is cut off for some seconds.
    */
   #pinned(assignment: Assignment, nowMs: number): ReadonlySet<string> {
     const pinned = new Set<string>()
--- a/packages/gateway/src/key-reports.ts
+++ b/packages/gateway/src/key-reports.ts
@@ -5,7 +5,9 @@
 import type { Directory } from './directory.js'
 import type { PeerAnswer } from './peer-server.js'
 
+/** A key that turns hot shows in the balance within a second. */
 const reportEveryMs = 500
+/** A report that is late is of no use. */
 const reportTimeoutMs = 300
 /** Shares of a leader that was not heard of for this long no longer count. */
 const shareLifetimeMs = 1800
--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -19,11 +19,13 @@
 export const leaseTimes: LeaseTimes = { leaseMs: 2400, marginMs: 300 }
 /** Three renewals may fail within a lease. */
 const renewEveryMs = 700
+/** Adds little to the time of a takeover. */
 const checkEveryMs = 100
 /** Between two attempts to renew a lease while the store refuses. */
 const retryPauseMs = 250
 /** Hosts try to take a lease over one after the other. */
 const takeoverSteps = 8
+/** A write and its way through the feed take less. */
 const takeoverStepMs = 50
 /** A host that gave the lease up leaves it to others for this time. */
 const abstainMs = 6000
--- a/packages/gateway/src/log-writer.ts
+++ b/packages/gateway/src/log-writer.ts
@@ -9,6 +9,7 @@
 /** Writes text and calls back when it has been taken. */
 export type TextSink = (text: string, done: () => void) => void
 
+/** The file descriptor. */
 const standardOutput = 1
 
 /** A failed write drops its text: there is nowhere else to report it. */
@@ -34,6 +35,7 @@
   readonly maxDebugPerEvent?: number
 }
 
+/** Span of the limits for one event. */
 const windowMs = 1000
 
 export class LogWriter extends Logger {
--- a/packages/gateway/src/main.ts
+++ b/packages/gateway/src/main.ts
@@ -6,6 +6,7 @@
 import { Daemon } from './daemon.js'
 import { LogWriter } from './log-writer.js'
 
+/** Settings change rarely, and mostly with a signal. */
 const checkSettingsEveryMs = 3000
 
 const clock = new SystemClock()
--- a/packages/gateway/src/peer-server.ts
+++ b/packages/gateway/src/peer-server.ts
@@ -9,6 +9,7 @@
 
 export type PeerHandler = (query: URLSearchParams, body: string) => PeerAnswer | Promise<PeerAnswer>
 
+/** Far above a report of the largest deployment. */
 const maxBodyBytes = 1024 * 1024
 
 export class PeerServer {
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -21,6 +21,7 @@
 export const relayPath = '/changes'
 /** Longest wait of a follower for a change; a silent connection is noticed after it. */
 const relayWaitMs = 1000
+/** Beyond the wait, for a busy leader. */
 const relayTimeoutMs = 400
 /** After a failed call the store is followed directly for this time. */
 const relayPauseMs = 1500
--- a/packages/gateway/src/replica.ts
+++ b/packages/gateway/src/replica.ts
@@ -29,6 +29,7 @@
 
 /** Between two calls while the store does not answer. */
 const firstRetryMs = 150
+/** Within the bounds on leaving targets and configuration. */
 const maxRetryMs = 800
 
 export class Replica {
--- a/packages/gateway/src/target-table.ts
+++ b/packages/gateway/src/target-table.ts
@@ -8,6 +8,7 @@
 const idleTimeoutMs = 8000
 /** After a failed connection a target is tried again after this time, doubled for each failure. */
 const firstPauseMs = 200
+/** A target that is back is found within this time. */
 const maxPauseMs = 1600
 /** A target that does not answer any request for this long is treated as silent. */
 const silentAfterMs = 700
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -40,6 +40,7 @@
 const ownerSlackShare = 0.4
 /** The same falls by this for each less urgent rank. */
 const rankStep = 0.15
+/** Least urgent requests still wait this long. */
 const lowestShare = 0.5
 /** Share of the time left that a prediction may use, as predictions are means. */
 const usableShare = 0.9
--- a/packages/routing/src/cold-start.ts
+++ b/packages/routing/src/cold-start.ts
@@ -5,6 +5,7 @@
  */
 import { SlidingCount } from './sliding-count.js'
 
+/** The rate of a cold target is given per second. */
 const windowMs = 1000
 
 export interface ColdShareOptions {
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -13,6 +13,7 @@
   readonly failureLevel: number
 }
 
+/** Enough to avoid slow targets, few enough to spread the hosts. */
 const sampleSize = 4
 /** Each recent failure makes a target look this much slower. */
 const failurePenalty = 1.5
