Remove a getter, a field and a function that nothing uses

Cause: found by reading the whole change: the row version of the leadership, whether a lost exchange reused its connection, and the ranges of one target had no reader; a timeout of the store stood twice as a number. Change: they are gone, the timeout is a named constant; behaviour is unchanged.

--- a/packages/assignment/src/range-map.ts
+++ b/packages/assignment/src/range-map.ts
@@ -51,9 +51,6 @@
   return undefined
 }
 
-export const rangesOf = (assignment: Assignment, target: string): AssignedRange[] =>
-  assignment.ranges.filter(({ owner }) => owner === target)
-
 /** Divides all keys evenly among targets, for a service without an assignment. */
 export const initialAssignment = (
   service: string,
--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -23,6 +23,8 @@
 const checkEveryMs = 100
 /** Between two attempts to renew a lease while the store refuses. */
 const retryPauseMs = 250
+/** Several calls fit into a lease. */
+const storeTimeoutMs = 600
 /** Hosts try to take a lease over one after the other. */
 const takeoverSteps = 8
 /** A write and its way through the feed take less. */
@@ -72,10 +74,6 @@
     return this.remainingMs() > 0 ? this.#tenure : undefined
   }
 
-  get rowVersion(): number {
-    return this.#rowVersion
-  }
-
   /** Time for which this host may still send grants; 0 when it does not lead. */
   remainingMs(): number {
     return this.#lease === undefined ? 0 : Math.max(0, this.#lease.remainingMs(this.#reading()))
@@ -107,8 +105,7 @@
     const { clock, directory, processId, peerAddress, turn } = this.#options
     const nowMs = clock.monotonicMs()
     if (!directory.isOwnTableKnown || nowMs < this.#abstainUntilMs) return
-    const waitMs = this.#observed.waitMs(nowMs)
-    if (waitMs > 0) return
+    if (this.#observed.waitMs(nowMs) > 0) return
     const seen = directory.leader
     await clock.sleep(Math.floor(turn * takeoverSteps) * takeoverStepMs)
     if (directory.leader !== seen || this.#stopped) return
@@ -175,14 +172,14 @@
     this.#record = undefined
   }
 
-  /** A lost response is resolved by the feed, which shows the row as it is. */
+  /** After a lost response the row is read, and the next renewal builds on what it holds. */
   async #write(record: LeaderRecord, version: number): Promise<boolean> {
     const { store, directory, logger, processId, clock } = this.#options
     const value = encodeLeader(record)
     const row = { table: storeTables.own, key: ownKeys.leader }
     const result = await store.commit(
       { conditions: [{ ...row, version }], writes: [{ ...row, value }] },
-      { timeoutMs: 600 },
+      { timeoutMs: storeTimeoutMs },
     )
     if (result.isOk) {
       this.#rowVersion = result.value
@@ -192,8 +189,7 @@
     }
     logger.warn('leader.write_failed', { term: record.term, renewal: record.renewal, ...result.error })
     if (result.error.code === 'unavailable') return false
-    // The row may hold an earlier write of this process whose response was lost; the next renewal builds on it.
-    const read = await store.snapshot(storeTables.own, { timeoutMs: 600 })
+    const read = await store.snapshot(storeTables.own, { timeoutMs: storeTimeoutMs })
     const current = read.isOk ? read.value.rows.find(({ key }) => key === ownKeys.leader) : undefined
     if (current === undefined) return false
     directory.applyOwnRow(current)
--- a/packages/gateway/src/target-exchange.ts
+++ b/packages/gateway/src/target-exchange.ts
@@ -21,6 +21,9 @@
 } as const
 export type NotSentReason = (typeof NotSentReason)[keyof typeof NotSentReason]
 
+/** How a connection ended without a whole response; `crossed` is an answer to another request. */
+export type LostReason = 'reset' | 'truncated' | 'crossed' | 'malformed'
+
 export type TargetResponse = ExchangeResult & { readonly kind: 'response' }
 
 export type ExchangeResult =
@@ -37,11 +40,7 @@
   /** Certainly no byte of the request reached the target. */
   | { readonly kind: 'not_sent'; readonly reason: NotSentReason; readonly message: string }
   /** Bytes were written, and no whole response came back. */
-  | {
-      readonly kind: 'lost'
-      readonly reason: 'reset' | 'truncated' | 'crossed' | 'malformed'
-      readonly reusedConnection: boolean
-    }
+  | { readonly kind: 'lost'; readonly reason: LostReason }
 
 export interface ExchangeOptions {
   readonly agent: TargetAgent
@@ -200,9 +199,8 @@
     }
   }
 
-  #lose(reason: 'reset' | 'truncated' | 'crossed' | 'malformed'): void {
-    const reusedConnection = this.#request.reusedSocket
-    this.#settle({ kind: 'lost', reason, reusedConnection })
+  #lose(reason: LostReason): void {
+    this.#settle({ kind: 'lost', reason })
     this.#request.destroy()
     this.#socket?.destroy()
   }
