Follow changes made between pages; store assignments in blocks of keys

Cause: a table of more than 500 rows is read in pages, each of its own moment, and the copy took the version of the last page: a row that changed on an earlier page in between was not read again until its next change. And a service's whole assignment was one row: with 800 targets it exceeds the 65,536 bytes of base64 that the store takes, and each move sent all of it to every host (18 KB for 162 targets, to 84 followers).

Ruled out: differences between two assignments as the unit of the feed; they would need a history of their own.

Ranges no longer cross blocks of 2,048 keys; each block is a row, and a decision is conditional on the rows that it changes. Rows carry the addresses of their own owners only.

--- a/packages/assignment/src/assignment.test.ts
+++ b/packages/assignment/src/assignment.test.ts
@@ -14,11 +14,15 @@
 import { TargetHolds } from './holds.js'
 import { KeyLoad } from './key-load.js'
 import {
+  blockCount,
+  blockOf,
+  changedBlocks,
   completeMoves,
-  decodeAssignment,
-  encodeAssignment,
+  decodeBlock,
+  encodeBlock,
   findRange,
   initialAssignment,
+  joinBlocks,
   keyCount,
   mergeRanges,
   reassign,
@@ -45,6 +49,15 @@
     .filter((range) => range.owner === owner)
     .reduce((sum, { from, to }) => sum + keyLoad.sum(from, to), 0)
 
+const blocks = Array.from({ length: blockCount }, (_, block) => block)
+
+/** What the store gives back. */
+const stored = (assignment: Assignment): Assignment | undefined =>
+  joinBlocks(
+    assignment.service,
+    blocks.map((block) => decodeBlock(encodeBlock(assignment, block))),
+  )
+
 test('any series of moves keeps all keys covered once, with a higher fence for each new owner', () => {
   const change = fc.record({
     a: fc.nat(keyCount - 1),
@@ -67,17 +80,45 @@
         }
         if (done) assignment = mergeRanges(completeMoves(assignment, assignment.ranges))
         assertCovers(assignment)
-        assert.deepEqual(decodeAssignment(encodeAssignment(assignment)), assignment)
+        assert.deepEqual(stored(assignment), assignment)
       }
     }),
     { seed: 1 },
   )
 })
 
-test('text that is not a whole assignment is not taken for one', () => {
-  for (const text of ['', '{}', 'null', '{"service":"a","lastFence":1,"ranges":[[0,10,"t",1,null,null]]}']) {
-    assert.equal(decodeAssignment(text), undefined, text)
+test('text that is not a whole block of an assignment is not taken for one', () => {
+  const short = '{"service":"a","block":0,"lastFence":1,"ranges":[[0,10,"t",1,null,null]]}'
+  const unknown = `{"service":"a","block":${String(blockCount)},"lastFence":1,"ranges":[]}`
+  for (const text of ['', '{}', 'null', short, unknown]) {
+    assert.equal(decodeBlock(text), undefined, text)
+  }
+})
+
+test('an assignment with a missing block is not complete', () => {
+  const assignment = initialAssignment('notes', targets(6))
+  const known = blocks.map((block) => decodeBlock(encodeBlock(assignment, block)))
+  assert.equal(joinBlocks('notes', [...known.slice(0, 7), undefined, ...known.slice(8)]), undefined)
+})
+
+test('the rows of two thousand targets fit into the store, and a move changes one of them', () => {
+  // The store takes 65,536 bytes of base64 a row.
+  const maxRowBytes = 65_536
+  const many = Array.from({ length: 2000 }, (_, index) => ({
+    id: `i-${String(index).padStart(10, '0')}`,
+    startedAtEpochMs: 1_733_300_000_000 + index,
+    weight: 1,
+  }))
+  const initial = initialAssignment('notes', many)
+  const addresses = Object.fromEntries(many.map(({ id }) => [id, '10.100.100.100:65000']))
+  const assignment = { ...initial, addresses }
+  for (const block of blocks) {
+    assert.ok(encodeBlock(assignment, block).length < (maxRowBytes * 3) / 4, `block ${String(block)}`)
   }
+  const moved = reassign(assignment, [
+    { from: 5000, to: 5001, owner: many[0]?.id ?? '', ownerStartedAtEpochMs: 1 },
+  ])
+  assert.deepEqual(changedBlocks(moved, assignment), [blockOf(5000)])
 })
 
 test('a hot neighbourhood is divided among targets, and cold keys stay', () => {
--- a/packages/assignment/src/range-map.ts
+++ b/packages/assignment/src/range-map.ts
@@ -5,6 +5,15 @@
 
 export const keyCount = 65_536
 
+/**
+ * Ranges never cross from one block of keys into the next, so that each block is stored in a row of its own: a change is
+ * written and passed on without the rest, and no row grows with the number of targets beyond what the store takes.
+ */
+export const blockCount = 32
+const keysPerBlock = keyCount / blockCount
+
+export const blockOf = (key: number): number => Math.floor(key / keysPerBlock)
+
 export interface KeyRange {
   /** Both ends are inclusive. */
   readonly from: number
@@ -66,17 +75,19 @@
   const ranges: AssignedRange[] = []
   targets.forEach(({ id, startedAtEpochMs, weight }, index) => {
     given += weight
-    const to = index === targets.length - 1 ? keyCount - 1 : Math.round((keyCount * given) / total) - 1
-    if (to < from) return
-    ranges.push({
-      from,
-      to,
-      owner: id,
-      ownerStartedAtEpochMs: startedAtEpochMs,
-      fence: 1,
-      formerOwner: undefined,
-    })
-    from = to + 1
+    const last = index === targets.length - 1 ? keyCount - 1 : Math.round((keyCount * given) / total) - 1
+    while (from <= last) {
+      const to = Math.min(last, (blockOf(from) + 1) * keysPerBlock - 1)
+      ranges.push({
+        from,
+        to,
+        owner: id,
+        ownerStartedAtEpochMs: startedAtEpochMs,
+        fence: 1,
+        formerOwner: undefined,
+      })
+      from = to + 1
+    }
   })
   return { service, lastFence: 1, addresses: {}, ranges }
 }
@@ -139,13 +150,14 @@
   return { ...assignment, addresses }
 }
 
-/** Joins neighbours with the same owner and fence. */
+/** Joins neighbours of one block with the same owner and fence. */
 export const mergeRanges = (assignment: Assignment): Assignment => {
   const ranges: AssignedRange[] = []
   for (const range of assignment.ranges) {
     const last = ranges.at(-1)
     if (
       last !== undefined &&
+      blockOf(last.from) === blockOf(range.from) &&
       last.owner === range.owner &&
       last.fence === range.fence &&
       last.ownerStartedAtEpochMs === range.ownerStartedAtEpochMs &&
@@ -169,27 +181,38 @@
   formerOwner: string | null,
 ]
 
-/** Compact JSON for one row of the store. */
-export const encodeAssignment = ({ service, lastFence, addresses, ranges }: Assignment): string =>
-  JSON.stringify({
-    service,
-    lastFence,
-    addresses,
-    ranges: ranges.map(({ from, to, owner, fence, ownerStartedAtEpochMs, formerOwner }): PackedRange => [
-      from,
-      to,
-      owner,
-      fence,
-      ownerStartedAtEpochMs ?? null,
-      formerOwner ?? null,
-    ]),
-  })
+/** One block of an assignment, as it is stored; `lastFence` and `addresses` are as of its last change. */
+export interface AssignmentBlock extends Assignment {
+  readonly block: number
+}
+
+const pack = (ranges: readonly AssignedRange[]): PackedRange[] =>
+  ranges.map(({ from, to, owner, fence, ownerStartedAtEpochMs, formerOwner }) => [
+    from,
+    to,
+    owner,
+    fence,
+    ownerStartedAtEpochMs ?? null,
+    formerOwner ?? null,
+  ])
+
+const rangesOf = ({ ranges }: Assignment, block: number): AssignedRange[] =>
+  ranges.filter(({ from }) => blockOf(from) === block)
+
+/** Compact JSON for the row of one block. */
+export const encodeBlock = (assignment: Assignment, block: number): string => {
+  const ranges = rangesOf(assignment, block)
+  const { addresses } = withAddresses({ ...assignment, ranges }, () => undefined)
+  const { service, lastFence } = assignment
+  return JSON.stringify({ service, block, lastFence, addresses, ranges: pack(ranges) })
+}
 
-/** Returns undefined when the text is not an assignment that covers all keys once. */
-export const decodeAssignment = (text: string): Assignment | undefined => {
+/** Returns undefined when the text is not a block of an assignment that covers the block's keys once. */
+export const decodeBlock = (text: string): AssignmentBlock | undefined => {
   try {
-    const { service, lastFence, addresses, ranges } = JSON.parse(text) as {
+    const { service, block, lastFence, addresses, ranges } = JSON.parse(text) as {
       service: string
+      block: number
       lastFence: number
       addresses: Record<string, string>
       ranges: PackedRange[]
@@ -202,13 +225,41 @@
       ownerStartedAtEpochMs: startedAtEpochMs ?? undefined,
       formerOwner: formerOwner ?? undefined,
     }))
-    const complete =
-      decoded.every(({ from, to }, index) => to >= from && from === (decoded[index - 1]?.to ?? -1) + 1) &&
-      decoded.at(-1)?.to === keyCount - 1
-    return typeof service === 'string' && Number.isInteger(lastFence) && complete
-      ? { service, lastFence, addresses, ranges: decoded }
+    const first = block * keysPerBlock
+    const isCovered =
+      decoded.every(
+        ({ from, to }, index) => to >= from && from === (decoded[index - 1]?.to ?? first - 1) + 1,
+      ) && decoded.at(-1)?.to === first + keysPerBlock - 1
+    const isBlock = Number.isInteger(block) && block >= 0 && block < blockCount
+    return typeof service === 'string' && Number.isInteger(lastFence) && isBlock && isCovered
+      ? { service, block, lastFence, addresses, ranges: decoded }
       : undefined
   } catch {
     return undefined
   }
 }
+
+/** The whole assignment; undefined while a block is missing. */
+export const joinBlocks = (
+  service: string,
+  blocks: readonly (AssignmentBlock | undefined)[],
+): Assignment | undefined => {
+  const known = blocks.filter((block) => block !== undefined)
+  if (known.length < blockCount) return undefined
+  return {
+    service,
+    lastFence: Math.max(...known.map(({ lastFence }) => lastFence)),
+    addresses: Object.assign({}, ...known.map(({ addresses }) => addresses)) as Record<string, string>,
+    ranges: known.flatMap(({ ranges }) => ranges),
+  }
+}
+
+/** The blocks whose ranges differ; all of them without a `previous` assignment. */
+export const changedBlocks = (next: Assignment, previous: Assignment | undefined): number[] => {
+  const text = (assignment: Assignment, block: number): string =>
+    JSON.stringify(pack(rangesOf(assignment, block)))
+  const blocks = Array.from({ length: blockCount }, (_, block) => block)
+  return previous === undefined
+    ? blocks
+    : blocks.filter((block) => text(next, block) !== text(previous, block))
+}
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -5,10 +5,14 @@
  */
 import type { Clock, Logger } from '@pimentotally/core'
 import {
-  decodeAssignment,
+  blockCount,
+  blockOf,
+  decodeBlock,
   findRange,
+  joinBlocks,
   type AssignedRange,
   type Assignment,
+  type AssignmentBlock,
   type LeaderRecord,
 } from '@pimentotally/assignment'
 import { configurationKey, decodeConfiguration, decodeTarget, evacuatedDomain } from '@pimentotally/platform'
@@ -27,6 +31,23 @@
   readonly missingSinceMs: number | undefined
 }
 
+/** What is stored of one service's keys. */
+export interface KnownAssignment {
+  /** Undefined while a block is missing. */
+  readonly assignment: Assignment | undefined
+  /** Versions of the blocks' rows; 0 for a missing one. */
+  readonly versions: readonly number[]
+  /** Rises with each change that this host learns of. */
+  readonly revision: number
+}
+
+interface StoredBlocks {
+  readonly blocks: (AssignmentBlock | undefined)[]
+  readonly versions: number[]
+  revision: number
+  joined: KnownAssignment | undefined
+}
+
 export interface DirectoryOptions {
   readonly clock: Clock
   readonly logger: Logger
@@ -44,7 +65,7 @@
   readonly #byService = new Map<string, KnownTarget[]>()
   readonly #idByAddress = new Map<string, string>()
   readonly #evacuated = new Set<string>()
-  readonly #assignments = new Map<string, { readonly assignment: Assignment; readonly version: number }>()
+  readonly #assignments = new Map<string, StoredBlocks>()
   #hostNames: readonly string[] = []
   readonly #ranks = new Map<string, number[]>()
   readonly #waiters = new Set<() => void>()
@@ -119,13 +140,20 @@
     return successor !== undefined && successor !== id
   }
 
-  assignment(service: string): { readonly assignment: Assignment; readonly version: number } | undefined {
-    return this.#assignments.get(service)
+  assignment(service: string): KnownAssignment | undefined {
+    const stored = this.#assignments.get(service)
+    if (stored === undefined) return undefined
+    stored.joined ??= {
+      assignment: joinBlocks(service, stored.blocks),
+      versions: [...stored.versions],
+      revision: stored.revision,
+    }
+    return stored.joined
   }
 
   range(service: string, key: number): AssignedRange | undefined {
-    const known = this.#assignments.get(service)
-    return known === undefined ? undefined : findRange(known.assignment.ranges, key)
+    const block = this.#assignments.get(service)?.blocks[blockOf(key)]
+    return block === undefined ? undefined : findRange(block.ranges, key)
   }
 
   /** 0 for the most urgent routes of a service, 1 for the next, and so on. */
@@ -191,7 +219,7 @@
     const host = ownKeys.hostOf(row.key)
     if (host !== undefined && !this.#hostNames.includes(host)) this.#hostNames = [...this.#hostNames, host]
     if (row.key === ownKeys.leader) this.#applyLeader(row)
-    if (ownKeys.serviceOf(row.key) !== undefined) this.#applyAssignment(row)
+    if (ownKeys.isAssignment(row.key)) this.#applyBlock(row)
   }
 
   #configure(row: StoredRow): void {
@@ -322,15 +350,24 @@
     this.#leader = { record, version: row.version }
   }
 
-  #applyAssignment(row: StoredRow): void {
-    const assignment = decodeAssignment(row.value.toString('utf8'))
-    if (assignment === undefined) {
+  #applyBlock(row: StoredRow): void {
+    const block = decodeBlock(row.value.toString('utf8'))
+    if (block === undefined) {
       this.#malformed(row, 'assignment')
       return
     }
-    const known = this.#assignments.get(assignment.service)
-    if (known !== undefined && known.version >= row.version) return
-    this.#assignments.set(assignment.service, { assignment, version: row.version })
+    const stored = this.#assignments.get(block.service) ?? {
+      blocks: Array.from({ length: blockCount }, () => undefined),
+      versions: Array.from({ length: blockCount }, () => 0),
+      revision: 0,
+      joined: undefined,
+    }
+    this.#assignments.set(block.service, stored)
+    if ((stored.versions[block.block] ?? 0) >= row.version) return
+    stored.blocks[block.block] = block
+    stored.versions[block.block] = row.version
+    stored.revision += 1
+    stored.joined = undefined
     for (const waiter of [...this.#waiters]) waiter()
   }
 
--- a/packages/gateway/src/dispatcher.test.ts
+++ b/packages/gateway/src/dispatcher.test.ts
@@ -10,7 +10,7 @@
 import type { AddressInfo } from 'node:net'
 import { test, type TestContext } from 'node:test'
 import { Random, SilentLogger, SystemClock } from '@pimentotally/core'
-import { encodeAssignment, type AssignedRange } from '@pimentotally/assignment'
+import { blockCount, encodeBlock, initialAssignment } from '@pimentotally/assignment'
 import {
   answerHeaders,
   callerHeaders,
@@ -129,21 +129,20 @@
 
   /** Assigns all keys to one target. */
   assign(owner: string, { version, formerOwner }: { version: number; formerOwner?: string }): void {
-    const range: AssignedRange = {
-      from: 0,
-      to: 65_535,
-      owner,
-      ownerStartedAtEpochMs: 1000,
-      fence: version,
-      formerOwner,
+    const { ranges } = initialAssignment('notes', [{ id: owner, startedAtEpochMs: 1000, weight: 1 }])
+    const assignment = {
+      service: 'notes',
+      lastFence: version,
+      addresses: {},
+      ranges: ranges.map((range) => ({ ...range, fence: version, formerOwner })),
+    }
+    for (let block = 0; block < blockCount; block += 1) {
+      this.directory.applyOwnRow({
+        key: ownKeys.assignment('notes', block),
+        version,
+        value: Buffer.from(encodeBlock(assignment, block)),
+      })
     }
-    this.directory.applyOwnRow({
-      key: ownKeys.assignment('notes'),
-      version,
-      value: Buffer.from(
-        encodeAssignment({ service: 'notes', lastFence: version, addresses: {}, ranges: [range] }),
-      ),
-    })
   }
 
   connectFailures(id: string): number {
--- a/packages/gateway/src/key-keeper.ts
+++ b/packages/gateway/src/key-keeper.ts
@@ -5,8 +5,10 @@
 import {
   admittedShares,
   balanceRanges,
+  blockCount,
+  changedBlocks,
   completeMoves,
-  encodeAssignment,
+  encodeBlock,
   evacuateRanges,
   findRange,
   imbalanceTolerance,
@@ -73,7 +75,9 @@
   readonly #moves: RangeMoves
   #assignment: Assignment | undefined
   #shares: ReadonlyMap<string, number> = new Map()
-  #version = 0
+  /** Versions of the stored blocks that the assignment is made of. */
+  #versions: readonly number[] = Array.from({ length: blockCount }, () => 0)
+  #revision = 0
   #deciding = false
   #balancedAtMs = 0
   #firstSeenMs: number | undefined
@@ -120,9 +124,10 @@
 
   #load(): void {
     const known = this.#options.directory.assignment(this.#options.service)
-    if (known === undefined || known.version <= this.#version || this.#deciding) return
+    if (known === undefined || known.revision === this.#revision || this.#deciding) return
     this.#assignment = known.assignment
-    this.#version = known.version
+    this.#versions = known.versions
+    this.#revision = known.revision
   }
 
   /** Ranges by owner, without those that move; a move's new owner counts from its end on, before that is stored. */
@@ -182,7 +187,7 @@
     if (changes.length === 0 && done.length === 0) return
     if (changes.length > 0) {
       const keys = changes.reduce((sum, { from, to }) => sum + to - from + 1, 0)
-      const assignmentVersion = this.#version
+      const assignmentVersion = Math.max(...this.#versions)
       logger.info('keys.moving', { service, reason, ranges: changes.length, keys, assignmentVersion })
     }
     if (await this.#commit(mergeRanges(reassign(current, changes)), reason)) this.#moves.forget(done)
@@ -256,20 +261,24 @@
   async #commit(decided: Assignment, reason: string): Promise<boolean> {
     const { store, directory, service, logger } = this.#options
     const next = withAddresses(decided, (id) => this.#owners.addressOf(id))
-    const key = ownKeys.assignment(service)
-    const row = { table: storeTables.own, key }
-    const value = Buffer.from(encodeAssignment(next))
+    const rows = changedBlocks(next, this.#assignment).map((block) => ({
+      table: storeTables.own,
+      key: ownKeys.assignment(service, block),
+      version: this.#versions[block] ?? 0,
+      value: Buffer.from(encodeBlock(next, block)),
+    }))
     const result = await store.commit(
-      { conditions: [{ ...row, version: this.#version }], writes: [{ ...row, value }] },
+      {
+        conditions: rows.map(({ table, key, version }) => ({ table, key, version })),
+        writes: rows.map(({ table, key, value }) => ({ table, key, value })),
+      },
       { timeoutMs: storeTimeoutMs },
     )
     if (result.isOk) {
-      this.#assignment = next
-      this.#version = result.value
-      directory.applyOwnRow({ key, value, version: result.value })
+      for (const { key, value } of rows) directory.applyOwnRow({ key, value, version: result.value })
       return true
     }
-    const assignmentVersion = this.#version
+    const assignmentVersion = Math.max(...this.#versions)
     logger.warn('keys.commit_failed', { service, reason, assignmentVersion, ...result.error })
     // A write without an answer may have taken effect; the next decision builds on what is stored.
     if (result.error.code !== 'unavailable') await this.#readStored()
--- a/packages/gateway/src/own-rows.ts
+++ b/packages/gateway/src/own-rows.ts
@@ -11,8 +11,9 @@
   leader: 'leader',
   host: (name: string): string => `${hostPrefix}${name}`,
   hostOf: (key: string): string | undefined => after(key, hostPrefix),
-  assignment: (service: string): string => `${assignmentPrefix}${service}`,
-  serviceOf: (key: string): string | undefined => after(key, assignmentPrefix),
+  /** One row for each block of a service's keys. */
+  assignment: (service: string, block: number): string => `${assignmentPrefix}${service}/${String(block)}`,
+  isAssignment: (key: string): boolean => key.startsWith(assignmentPrefix),
 } as const
 
 export const encodeLeader = (record: LeaderRecord): Buffer => Buffer.from(JSON.stringify(record))
--- a/packages/gateway/src/ownership.test.ts
+++ b/packages/gateway/src/ownership.test.ts
@@ -122,15 +122,16 @@
 
 test('all hosts restart: the same targets get the same keys', async () => {
   const world = await settle(7)
-  const stored = (): string =>
+  const stored = (): string[] =>
     world.store
       .rows(storeTables.own)
-      .find(({ key }) => key.startsWith('assignment/'))
-      ?.value.toString() ?? ''
+      .filter(({ key }) => key.startsWith('assignment/'))
+      .map(({ value }) => value.toString())
   const before = stored()
+  assert.ok(before.length > 0)
   world.restartHosts()
   await world.advance(4500)
-  assert.equal(stored(), before)
+  assert.deepEqual(stored(), before)
   assertOwned(world)
 })
 
--- a/packages/gateway/src/range-moves.ts
+++ b/packages/gateway/src/range-moves.ts
@@ -34,6 +34,9 @@
   isDone: boolean
 }
 
+/** Fences rise within a block of keys only. */
+const nameOf = ({ from, fence }: AssignedRange): string => `${String(from)}/${String(fence)}`
+
 /** What the former owner left behind. */
 interface Freed {
   readonly handover: string | undefined
@@ -41,8 +44,7 @@
 
 export class RangeMoves {
   readonly #options: RangeMovesOptions
-  /** By fence, which is unique to a move. */
-  readonly #moves = new Map<number, Move>()
+  readonly #moves = new Map<string, Move>()
 
   constructor(options: RangeMovesOptions) {
     this.#options = options
@@ -57,23 +59,23 @@
     return [...this.#moves.values()].filter(({ isDone }) => !isDone).length
   }
 
-  isDone({ fence }: AssignedRange): boolean {
-    return this.#moves.get(fence)?.isDone === true
+  isDone(range: AssignedRange): boolean {
+    return this.#moves.get(nameOf(range))?.isDone === true
   }
 
   /** Begins the moves that are not under way yet. */
   start(ranges: readonly AssignedRange[]): void {
     for (const range of ranges) {
-      if (range.formerOwner === undefined || this.#moves.has(range.fence)) continue
+      if (range.formerOwner === undefined || this.#moves.has(nameOf(range))) continue
       const move: Move = { range, isDone: false }
-      this.#moves.set(range.fence, move)
+      this.#moves.set(nameOf(range), move)
       void this.#carryOut(move, range.formerOwner)
     }
   }
 
   /** Forgets moves that are stored as ended. */
   forget(ranges: readonly AssignedRange[]): void {
-    for (const { fence } of ranges) this.#moves.delete(fence)
+    for (const range of ranges) this.#moves.delete(nameOf(range))
   }
 
   async #carryOut(move: Move, formerOwner: string): Promise<void> {
@@ -84,7 +86,7 @@
     const freeMs = clock.monotonicMs()
     if (freed === undefined || !(await this.#grant(move.range, freed))) {
       // The lease has ended; whoever leads next finds the move in the store.
-      this.#moves.delete(fence)
+      this.#moves.delete(nameOf(move.range))
       return
     }
     move.isDone = true
