Divide hot neighbours while earlier moves still wait; repeat keyed requests at their owner

Meanwhile the owner reset connections, each host went on sending to it, and failed safe requests were not sent again, as only the owner could take them. A fifth of the keys moved before traffic began, as the first assignment was made while targets still registered.

Change: rounds of the balance overlap up to the limit of moves at once; the hottest key and the balance are decided together. An owner that resets two connections in a row counts as full for 0.4 s and its callers are told to come back when the keys have been divided. Idempotent keyed requests are repeated at an owner that is not full, within the retry budget. Keys are first assigned when no target has registered for 1.5 s. Each confirmation by the store is passed on at once.

Tests that failed before: 'neighbours that turn hot are divided while moves of others still wait', 'a safe request with a key is repeated at its owner', 'an owner that resets one connection after the other is full'.

--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -26,8 +26,8 @@
 import { StatusServer } from './status-server.js'
 import { TargetTable } from './target-table.js'
 
-/** Half of the time within which a leaving target may still get requests. */
-const registerIntervalShare = 0.45
+/** Below half of the time within which a leaving target may still get requests. */
+const registerIntervalShare = 0.4
 /**
  * Share of the shortest bound on a change by the operator that a feed call may wait: a leader that was cut off must be
  * noticed well before the bound.
@@ -136,16 +136,18 @@
       workMs: (service) => this.#dispatcher.serviceWorkMs(service),
     })
     const feedWaitMs = Math.floor(feedWaitShare * Math.min(bounds.configurationMs, bounds.evacuationMs))
+    const registerIntervalMs = bounds.drainMs * registerIntervalShare
     const relayedStore = new RelayedStore({
       store: this.#store,
       clock,
       logger,
       sources: () => this.#sources(),
-      pollIntervalMs: { [storeTables.register]: bounds.drainMs * registerIntervalShare },
+      confirmedEveryMs: Math.max(feedWaitMs, registerIntervalMs),
+      pollIntervalMs: { [storeTables.register]: registerIntervalMs },
     })
     const follow = (table: string, log: ChangeLog, apply: (change: ReplicaChange) => void): RelayedTable => ({
       log,
-      maxAgeMs: feedWaitMs + maxRelayDelayMs,
+      maxAgeMs: Math.max(feedWaitMs, registerIntervalMs) + maxRelayDelayMs,
       replica: new Replica({
         store: relayedStore,
         table,
--- a/packages/gateway/src/dispatcher.test.ts
+++ b/packages/gateway/src/dispatcher.test.ts
@@ -374,6 +374,31 @@
   assert.equal((await waiting).status, 200)
 })
 
+test('a safe request with a key is repeated at its owner after a failure', async (t) => {
+  for (const failing of [reset, answer(500), shed]) {
+    let calls = 0
+    const target = await startTarget(t, 'a', (request, response) => {
+      calls += 1
+      if (calls % 2 === 1) failing(request, response)
+      else answer(200)(request, response)
+    })
+    const gateway = await Gateway.start(t, [target], { isSharded: true })
+    gateway.assign('a', { version: 1 })
+    assert.equal((await gateway.call('/notes/1', { fields: { key: 7 } })).status, 200)
+    assert.equal(target.seen.length, 2)
+  }
+})
+
+test('an owner that resets one connection after the other is full, and callers are told when to come back', async (t) => {
+  const target = await startTarget(t, 'a', reset)
+  const gateway = await Gateway.start(t, [target], { isSharded: true })
+  gateway.assign('a', { version: 1 })
+  assert.equal((await gateway.call('/notes/1', { fields: { key: 7 } })).status, 502, 'it may have run')
+  const { status, headers } = await gateway.call('/notes/1', { fields: { key: 7 } })
+  assert.deepEqual([status, Number(headers['retry-after']) > 1], [503, true])
+  assert.equal(target.seen.length, 2, 'the second request was not sent')
+})
+
 test('a target whose connections are all in use by this host is not taken for unreachable', async (t) => {
   const target = await startTarget(t, 'a', () => undefined)
   const gateway = await Gateway.start(t, [target])
--- a/packages/gateway/src/key-keeper.ts
+++ b/packages/gateway/src/key-keeper.ts
@@ -34,10 +34,12 @@
 import { RangeMoves } from './range-moves.js'
 import { TargetGrants, type TargetGrantsOptions } from './target-grants.js'
 
-/** Reports come twice a second, and a move has to show in them. */
-const balanceEveryMs = 700
-/** Targets register within this time of the first one. */
+/** Reports come almost three times a second, and a decision has to show in them. */
+const balanceEveryMs = 600
+/** When no target has registered for this long, all have that will soon. */
 const gatheringMs = 1500
+/** Keys are assigned after this time even while targets still register. */
+const maxGatheringMs = 4500
 /** Requests for moving keys wait, so only a part of the keys moves at a time: at least so many ranges. */
 const minMovesAtOnce = 24
 /** With many targets, as many ranges as this share of the targets; a failure domain holds a third of them. */
@@ -86,7 +88,8 @@
   #revision = 0
   #deciding = false
   #balancedAtMs = 0
-  #firstSeenMs: number | undefined
+  /** When the first target was seen, and when their number last changed. */
+  #gathering: { readonly sinceMs: number; readonly changedAtMs: number; readonly count: number } | undefined
 
   constructor(options: KeyKeeperOptions) {
     this.#options = options
@@ -178,8 +181,12 @@
     const targets = directory.targets(service).filter((target) => directory.isUsable(target))
     const nowMs = clock.monotonicMs()
     if (targets.length === 0) return
-    this.#firstSeenMs ??= nowMs
-    if (nowMs - this.#firstSeenMs < gatheringMs) return
+    if (this.#gathering?.count !== targets.length) {
+      const sinceMs = this.#gathering?.sinceMs ?? nowMs
+      this.#gathering = { sinceMs, changedAtMs: nowMs, count: targets.length }
+    }
+    const { sinceMs, changedAtMs } = this.#gathering
+    if (nowMs - changedAtMs < gatheringMs && nowMs - sinceMs < maxGatheringMs) return
     const sorted = [...targets].sort((a, b) => (a.id < b.id ? -1 : 1))
     const weighed = sorted.map(({ id, startedAtEpochMs, slots }) => ({ id, startedAtEpochMs, weight: slots }))
     await this.#commit(initialAssignment(service, weighed), 'initial')
@@ -220,15 +227,19 @@
     const room = movesAtOnce - this.#moves.underWay
     const evacuated = evacuateRanges(current, targets, keyLoad, { maxMoves: room, except: pinned })
     if (evacuated.length > 0) return { changes: evacuated, reason: 'owner_leaves' }
-    if (this.#moves.underWay > 0 || nowMs - this.#balancedAtMs <= balanceEveryMs) {
+    // A release waits for work under way, so moves of the last round may still go on; their keys stay as decided.
+    const maxMoves = Math.min(room, Math.floor(movesAtOnce * balancedShare))
+    if (maxMoves <= 0 || nowMs - this.#balancedAtMs <= balanceEveryMs) {
       return { changes: [], reason: 'none' }
     }
     this.#balancedAtMs = nowMs
     const hot = placeHotKey(current, targets, keyLoad)
     const tolerance = imbalanceTolerance(utilization)
-    const maxMoves = Math.floor(movesAtOnce * balancedShare)
-    const wanted =
-      hot === undefined ? balanceRanges(current, targets, keyLoad, { tolerance, maxMoves }) : [hot]
+    const hottest = hot === undefined ? [] : [hot]
+    const wanted = [
+      ...hottest,
+      ...balanceRanges(reassign(current, hottest), targets, keyLoad, { tolerance, maxMoves }),
+    ]
     const changes = wanted.filter(({ from }) => !pinned.has(findRange(current.ranges, from)?.owner ?? ''))
     return { changes, reason: hot === undefined ? 'balance' : 'hot_key' }
   }
--- a/packages/gateway/src/ownership.test.ts
+++ b/packages/gateway/src/ownership.test.ts
@@ -7,7 +7,7 @@
 import fc from 'fast-check'
 import { storeTables } from '@pimentotally/platform'
 import { targetRow } from '@pimentotally/platform/testing'
-import { OwnershipWorld } from './testing-world.js'
+import { OwnershipWorld, service } from './testing-world.js'
 
 /** All targets hold their keys from here on. */
 const settledMs = 6000
@@ -120,6 +120,30 @@
   assert.deepEqual(target.holds, [], 'the target has given its keys up')
 })
 
+test('neighbours that turn hot are divided while moves of others still wait for work under way', async () => {
+  const world = await settle(11, 12)
+  for (const target of world.targets) target.workMs = 60_000
+  const ownersOf = (first: number): number => {
+    const directory = world.leader()?.directory
+    const keys = Array.from({ length: 200 }, (_, index) => first + index)
+    return new Set(keys.map((key) => directory?.range(service, key)?.owner)).size
+  }
+  /** Requests for 200 neighbours at ten times the rate of all others. */
+  const heat = async (first: number, durationMs: number): Promise<void> => {
+    for (let ms = 0; ms < durationMs; ms += 100) {
+      const keyLoad = world.leader()?.control.keyLoad(service)
+      for (let key = 0; key < 65_536; key += 656) keyLoad?.add(key, 0.2)
+      for (let key = first; key < first + 200; key += 1) keyLoad?.add(key, 1)
+      await world.advance(100)
+    }
+  }
+  await heat(1000, 1500)
+  assert.ok(ownersOf(1000) > 4, 'the first are divided')
+  await heat(40_000, 2500)
+  assert.ok(ownersOf(40_000) > 4, 'the second are divided while releases of the first wait')
+  assert.deepEqual(world.violations, [])
+})
+
 test('all hosts restart: the same targets get the same keys', async () => {
   const world = await settle(7)
   const stored = (): string[] =>
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -20,12 +20,10 @@
 import type { Replica } from './replica.js'
 
 export const relayPath = '/changes'
-/** Longer than a leader waits for the store; a silent connection is noticed after it. */
-const relayWaitMs = 950
+/** Beyond the time between two confirmations by the store, so that each is passed on once. */
+const confirmationSlackMs = 200
 /** Beyond the wait, for a busy host. */
 const relayTimeoutMs = 250
-/** A confirmation without changes is passed on after this time, so that followers ask no more often than needed. */
-const minIdleWaitMs = 250
 /** After a failed call the host is not asked again for this time, doubled with each failure. */
 const firstPauseMs = 1500
 /** A host that is back is found within this time. */
@@ -58,22 +56,16 @@
   const isCurrent = (): boolean => !replica.isFailing && ageMs() <= maxAgeMs
   if (!isCurrent()) return { status: 503 }
   // No longer than the copy stays current, if it is not confirmed any more.
-  const waitMs = Math.min(relayWaitMs, maxAgeMs - ageMs() + 1, Number(query.get('waitMs')) || 0)
+  const waitMs = Math.min(maxAgeMs - ageMs() + 1, Number(query.get('waitMs')) || 0)
   if (log.since(after)?.length === 0 && waitMs > 0) {
-    const askedAtMs = clock.monotonicMs()
     await new Promise<void>((resolve) => {
       const stops: (() => void)[] = []
       const end = (): void => {
         for (const stop of stops) stop()
         resolve()
       }
-      stops.push(
-        log.onChange(end),
-        log.onConfirmed(() => {
-          if (clock.monotonicMs() - askedAtMs >= Math.min(minIdleWaitMs, waitMs)) end()
-        }),
-        clock.schedule(waitMs, end),
-      )
+      // A confirmation is an answer as well: a copy that was just confirmed stays current at its followers for longest.
+      stops.push(log.onChange(end), log.onConfirmed(end), clock.schedule(waitMs, end))
     })
   }
   if (!isCurrent()) return { status: 503 }
@@ -100,6 +92,8 @@
   readonly logger: Logger
   /** Hosts that may be followed, in the order in which they are asked. */
   readonly sources: () => readonly string[]
+  /** Longest time between two confirmations of a copy by the store. */
+  readonly confirmedEveryMs: number
   /** Pause between two direct reads of a table that changes all the time. */
   readonly pollIntervalMs: Readonly<Record<string, number>>
 }
@@ -181,7 +175,8 @@
     table: string,
     after: number,
   ): Promise<StoreResult<TableChanges> | undefined> {
-    const { logger } = this.#options
+    const { logger, confirmedEveryMs } = this.#options
+    const relayWaitMs = confirmedEveryMs + confirmationSlackMs
     const query = new URLSearchParams({ table, after: String(after), waitMs: String(relayWaitMs) })
     const answer = await this.#caller.call({
       step: 'relay.changes',
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -37,7 +37,7 @@
 const answerMarginMs = 15
 /** For callers and routes that set no limit. */
 const longestRequestMs = 60_000
-/** Targets that one request is sent to, whatever its route allows. */
+/** Sends of one request, whatever its route allows. */
 const maxSends = 3
 /** With less than this share of the work time left, another send would hardly end in time. */
 const minWorkShareLeft = 0.5
@@ -76,6 +76,9 @@
   readonly #tried = new Set<string>()
   /** Targets that did not hold the request's key any more. */
   readonly #disowned = new Set<string>()
+  /** Targets that this request is not sent to again, though they own its key. */
+  readonly #barred = new Set<string>()
+  #sends = 0
   /** A target may have run the request. */
   #mayHaveRun = false
   #finished = false
@@ -168,6 +171,7 @@
       key,
       tried: this.#tried,
       disowned: this.#disowned,
+      barred: this.#barred,
       elapsedMs: this.#elapsedMs(),
       leftMs: this.#leftMs(),
     })
@@ -206,6 +210,7 @@
     const attempt: Attempt = { target, exchange, sentAtMs, predicted }
     this.#attempts.add(attempt)
     this.#tried.add(target.id)
+    this.#sends += 1
     targets.started(target.id)
   }
 
@@ -227,7 +232,7 @@
     if (result.kind === 'not_sent') {
       if (result.reason === NotSentReason.connect) targets.connectFailed(target, result.message)
     } else if (result.kind === 'lost') {
-      targets.lost(target.id, result.reason === 'crossed')
+      targets.lost(target.id, result.reason)
     } else {
       const failed = result.notExecuted || result.status >= 500
       targets.responded(target, service, result.incoming.headers, failed)
@@ -256,6 +261,7 @@
       this.#spare = result
     }
     if (result.kind === 'response' && saysNotHeld(result.status)) this.#disowned.add(target.id)
+    if (result.kind === 'not_sent' || this.#options.targets.isFull(target.id)) this.#barred.add(target.id)
     const cause = causeOf(result)
     this.#options.logger.info('attempt.failed', {
       requestId: this.#inbound.requestId,
@@ -274,9 +280,13 @@
     if (this.#mayHaveRun && !this.#idempotent) return false
     const { route } = this.#inbound.match
     const workMs = this.#dispatcher.routeWorkMs(route)
-    return (
-      this.#tried.size < Math.min(route.maxTargets, maxSends) && this.#leftMs() > workMs * minWorkShareLeft
-    )
+    // An owner may get its request again, as no other target could run it.
+    const hasTarget = this.#isKeyed || this.#tried.size < route.maxTargets
+    return hasTarget && this.#sends < maxSends && this.#leftMs() > workMs * minWorkShareLeft
+  }
+
+  get #isKeyed(): boolean {
+    return this.#inbound.match.service.isSharded && this.#inbound.key !== undefined
   }
 
   #scheduleHedge(predicted: Prediction): void {
@@ -356,7 +366,7 @@
       route: match.route.name,
       service: match.service.name,
       key,
-      sends: this.#tried.size,
+      sends: this.#sends,
       elapsedMs: this.#elapsedMs(),
       configurationVersion: directory.routes?.configuration.version,
       ...fields,
--- a/packages/gateway/src/target-selector.ts
+++ b/packages/gateway/src/target-selector.ts
@@ -18,8 +18,8 @@
 
 /** Where nothing better is known. */
 export const defaultRetryAfterMs = 250
-/** Keys are balanced anew about this often, so that an overloaded owner may have room. */
-const overloadRetryAfterMs = 500
+/** The leader learns of an overload, divides the keys and has them moved within about this time. */
+const overloadRetryAfterMs = 1200
 /** The keys of a leaving owner move within this time. */
 const leavingRetryAfterMs = 500
 /** The cost of the way to another failure domain, as a delay. */
@@ -58,6 +58,8 @@
   readonly tried: ReadonlySet<string>
   /** Those of them that did not hold the key any more. */
   readonly disowned: ReadonlySet<string>
+  /** Those of them that this request is not sent to again, though they own its key. */
+  readonly barred: ReadonlySet<string>
   readonly elapsedMs: number
   readonly leftMs: number
 }
@@ -109,8 +111,9 @@
     if (!usable) return refuse('owner_leaves', leavingRetryAfterMs, inputs)
     // Its keys are on their way, and this host has not learned yet where to.
     if (request.disowned.has(target.id)) return refuse(RefusalReason.keyMoving, defaultRetryAfterMs, inputs)
-    if (request.tried.has(target.id)) return refuse('owner_failed', defaultRetryAfterMs, inputs)
-    const { pausedUntilMs, connectFailures } = targets.of(target.id)
+    if (request.barred.has(target.id)) return refuse('owner_failed', overloadRetryAfterMs, inputs)
+    const { pausedUntilMs, fullUntilMs, connectFailures } = targets.of(target.id)
+    if (fullUntilMs > nowMs) return refuse('owner_full', overloadRetryAfterMs, inputs)
     if (pausedUntilMs > nowMs) {
       const retryAfterMs = Math.max(defaultRetryAfterMs, pausedUntilMs - nowMs)
       return refuse('owner_unreachable', retryAfterMs, { ...inputs, connectFailures })
--- a/packages/gateway/src/target-table.ts
+++ b/packages/gateway/src/target-table.ts
@@ -5,6 +5,7 @@
 import { readColdRemainingMs, readLoad } from '@pimentotally/platform'
 import { ColdSends, TargetLoad, coldShare, decay, type LoadReport, type Service } from '@pimentotally/routing'
 import type { Directory, KnownTarget } from './directory.js'
+import type { LostReason } from './target-exchange.js'
 
 /** Targets close idle connections after ten seconds or more; shorter avoids the race. */
 const idleTimeoutMs = 8000
@@ -24,6 +25,10 @@
 const usualRate = 0.1
 /** After this time without a report the usual occupancy counts for 1/e, so that a refused service is tried again. */
 const usualMemoryMs = 2500
+/** Resets in a row, without a response in between, from which on a target is taken for full. */
+const resetsOfFullTarget = 2
+/** A full target is left alone for this time; its queue falls by some requests meanwhile. */
+const fullPauseMs = 400
 /** After bytes that nobody asked for, connections to the target are not reused for requests that run once. */
 const distrustMs = 8000
 
@@ -46,6 +51,8 @@
   /** When the oldest request without a response since the last response was sent. */
   waitingSinceMs: number | undefined
   coldUntilMs = 0
+  resetsInRow = 0
+  fullUntilMs = 0
 
   /** Whether requests are out and nothing has come back for long. */
   isSilent(nowMs: number, predictedMs: number): boolean {
@@ -124,10 +131,24 @@
   }
 
   /** The connection ended without a whole answer to the request. */
-  lost(id: string, answerWasAnothers: boolean): void {
+  lost(id: string, reason: LostReason): void {
     const nowMs = this.#options.clock.monotonicMs()
-    this.of(id).load.failed(nowMs)
-    if (answerWasAnothers) this.of(id).distrustedUntilMs = nowMs + distrustMs
+    const observed = this.of(id)
+    observed.load.failed(nowMs)
+    if (reason === 'crossed') observed.distrustedUntilMs = nowMs + distrustMs
+    if (reason !== 'reset') return
+    observed.resetsInRow += 1
+    if (observed.resetsInRow >= resetsOfFullTarget) observed.fullUntilMs = nowMs + fullPauseMs
+  }
+
+  /**
+   * Whether the target has no room for another request: some targets reset connections when they are full, and others
+   * report it. Load pattern: neighbouring keys turn hot together, and each host learns of the queue only by itself.
+   */
+  isFull(id: string): boolean {
+    const { fullUntilMs, load } = this.of(id)
+    const nowMs = this.#options.clock.monotonicMs()
+    return nowMs < fullUntilMs || load.reportedQueue(nowMs)
   }
 
   /** Whether bytes that nobody asked for have come from the target of late. */
@@ -158,6 +179,7 @@
     // A target that answers after failed connections may have started anew, and counts as cold until it reports.
     if (observed.connectFailures > 0) observed.coldUntilMs = nowMs + service.coldStartMs
     observed.connectFailures = 0
+    observed.resetsInRow = 0
     observed.pausedUntilMs = 0
     observed.waitingSinceMs = observed.load.inFlight > 0 ? nowMs : undefined
     const coldMs = readColdRemainingMs(headers)
--- a/packages/routing/src/load.ts
+++ b/packages/routing/src/load.ts
@@ -128,6 +128,11 @@
     return this.#report?.waiting === 0
   }
 
+  /** Whether requests waited at the target when it last reported, a moment ago. */
+  reportedQueue(nowMs: number): boolean {
+    return (this.#report?.waiting ?? 0) > 0 && nowMs - this.#reportedAtMs < occupancyMemoryMs
+  }
+
   /** Factor on the work time just now, beside the target's own speed. */
   momentarySlowdown(nowMs: number): number {
     const reported = this.#report?.slowdown ?? 1
