Share queues and speeds of targets between hosts

Cause: on the grown site a host hears from a target of the largest service every 15 s, and from those of the small services every 6 s.

Change: reports also carry the queues that targets reported; the leader answers with the mean queue of each service and, every 3 s, the speeds of all targets. Hosts use the mean where their own reports are old, and start from the shared speed. A new leader goes on from the table that it had. KeyReports is PeerReports now, as it carries more than keys.

Ruled out: each target's queue in every answer, 8 KB to each host three times a second on links of 10 Mbit/s.

--- a/packages/assignment/src/target-speeds.ts
+++ b/packages/assignment/src/target-speeds.ts
@@ -6,6 +6,9 @@
 const slowest = 4
 const fastest = 0.4
 
+/** A smaller difference changes no choice of a target. */
+const notable = 0.05
+
 export class TargetSpeeds {
   readonly #factors = new Map<string, number>()
 
@@ -17,6 +20,21 @@
     this.#factors.set(target, known + (sum / count - known) * weight)
   }
 
+  /** Takes what another leader knew; its own later observations go on from there. */
+  adopt(factors: Readonly<Record<string, number>>): void {
+    for (const [target, factor] of Object.entries(factors)) this.#factors.set(target, factor)
+  }
+
+  /** All that differ from the usual, with two digits. */
+  factors(): Record<string, number> {
+    const factors: Record<string, number> = {}
+    for (const target of this.#factors.keys()) {
+      const factor = Math.round(this.factor(target) * 100) / 100
+      if (Math.abs(factor - 1) >= notable) factors[target] = factor
+    }
+    return factors
+  }
+
   /** 1 is usual, 2 takes twice as long. */
   factor(target: string): number {
     return Math.min(slowest, Math.max(fastest, this.#factors.get(target) ?? 1))
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -1,5 +1,6 @@
 /** Composition of the gateway daemon: replicas of the store, leadership, key keepers, listeners, stop and reload. */
 import { randomUUID } from 'node:crypto'
+import { TargetSpeeds } from '@pimentotally/assignment'
 import { Random, type Clock, type Logger } from '@pimentotally/core'
 import { splitAddress } from '@pimentotally/http'
 import {
@@ -16,7 +17,7 @@
 import { Dispatcher } from './dispatcher.js'
 import { feedSources } from './feed-sources.js'
 import { KeyControl } from './key-control.js'
-import { KeyReports, reportPath } from './key-reports.js'
+import { PeerReports, reportPath } from './peer-reports.js'
 import { Leadership } from './leadership.js'
 import { GatewayMetrics } from './metrics.js'
 import { encodeHost, ownKeys } from './own-rows.js'
@@ -61,7 +62,7 @@
   readonly #dispatcher: Dispatcher
   readonly #callers: CallerServer
   readonly #leadership: Leadership
-  readonly #reports: KeyReports
+  readonly #reports: PeerReports
   readonly #metrics = new GatewayMetrics()
   readonly #tables: ReadonlyMap<string, RelayedTable>
   readonly #peers: PeerServer
@@ -84,18 +85,29 @@
     this.#peerAddress = `${ip}:${String(peerPort)}`
     this.#directory = new Directory({ clock, logger, heartbeatMs: settings.heartbeatMs })
     const directory = this.#directory
-    this.#targets = new TargetTable({ clock, logger, directory, hostName })
-    this.#reports = new KeyReports({
+    const speeds = new TargetSpeeds()
+    this.#targets = new TargetTable({
+      clock,
+      logger,
+      directory,
+      hostName,
+      observeOccupancy: (service, occupancy) => {
+        this.#reports.observeOccupancy(service, occupancy)
+      },
+      meanOccupancy: (service) => this.#reports.occupancy(service),
+    })
+    this.#reports = new PeerReports({
       clock,
       logger,
       directory,
       processId: this.#processId,
       sources: () => this.#sources(),
       keyLoad: (service) => this.#keys.keyLoad(service),
-      addSpeed: (target, sum, count) => {
-        this.#keys.speeds.add(target, sum, count)
-      },
+      speeds,
       shares: () => this.#keys.shares(),
+      adoptSpeeds: (factors) => {
+        this.#targets.adoptSpeeds(factors)
+      },
     })
     this.#dispatcher = new Dispatcher({
       clock,
@@ -132,6 +144,7 @@
       directory,
       leadership: this.#leadership,
       calls: new TargetCalls(),
+      speeds,
       maxHoldMs: bounds.maxHoldMs,
       workMs: (service) => this.#dispatcher.serviceWorkMs(service),
     })
--- a/packages/gateway/src/key-control.ts
+++ b/packages/gateway/src/key-control.ts
@@ -1,5 +1,5 @@
 /** The leader's work on all services that are divided by key, for as long as this host leads. */
-import { KeyLoad, TargetSpeeds, type TargetControl } from '@pimentotally/assignment'
+import { KeyLoad, type TargetControl, type TargetSpeeds } from '@pimentotally/assignment'
 import type { Clock, Logger } from '@pimentotally/core'
 import { storeTables } from '@pimentotally/platform'
 import type { RowStore } from '@pimentotally/storage'
@@ -21,6 +21,8 @@
   readonly directory: Directory
   readonly leadership: Leadership
   readonly calls: TargetControl
+  /** What all hosts observed of the targets. */
+  readonly speeds: TargetSpeeds
   /** Longest hold that targets accept. */
   readonly maxHoldMs: number
   /** Mean work time of a request to a service. */
@@ -28,7 +30,6 @@
 }
 
 export class KeyControl {
-  readonly speeds = new TargetSpeeds()
   readonly #options: KeyControlOptions
   readonly #keyLoads = new Map<string, KeyLoad>()
   readonly #keepers = new Map<string, KeyKeeper>()
@@ -102,7 +103,6 @@
         ...options,
         service,
         keyLoad,
-        speeds: this.speeds,
         tenure,
         workMs: () => workMs(service),
         remainingMs: () => leadership.remainingMs(),
--- /dev/null
+++ b/packages/gateway/src/peer-reports.test.ts
@@ -0,0 +1,128 @@
+/** Reports between hosts, and the guidance that the leader answers with. */
+import assert from 'node:assert/strict'
+import { test, type TestContext } from 'node:test'
+import { KeyLoad, TargetSpeeds } from '@pimentotally/assignment'
+import { SilentLogger } from '@pimentotally/core'
+import { VirtualTime } from '@pimentotally/core/testing'
+import { Directory } from './directory.js'
+import { encodeLeader, ownKeys } from './own-rows.js'
+import { PeerReports } from './peer-reports.js'
+
+interface Reporting {
+  readonly reports: PeerReports
+  readonly keyLoad: KeyLoad
+  readonly speeds: TargetSpeeds
+  readonly adopted: Record<string, number>
+  shares: Record<string, number>
+}
+
+/** A host of a deployment whose leader is `h`. */
+const start = (t: TestContext, time: VirtualTime, processId: string): Reporting => {
+  const clock = time.clock()
+  const logger = new SilentLogger()
+  const directory = new Directory({ clock, logger })
+  const record = { leader: 'h', peerAddress: '127.0.0.1:1', term: 1, renewal: 1, released: false }
+  directory.applyOwnRow({ key: ownKeys.leader, version: 1, value: encodeLeader(record) })
+  const keyLoad = new KeyLoad()
+  const speeds = new TargetSpeeds()
+  const state: Reporting = {
+    keyLoad,
+    speeds,
+    adopted: {},
+    shares: {},
+    reports: new PeerReports({
+      clock,
+      logger,
+      directory,
+      processId,
+      sources: () => [],
+      keyLoad: (service) => (service === 'notes' ? keyLoad : undefined),
+      speeds,
+      shares: () => state.shares,
+      adoptSpeeds: (factors) => Object.assign(state.adopted, factors),
+    }),
+  }
+  void state.reports.run()
+  t.after(() => {
+    state.reports.stop()
+  })
+  return state
+}
+
+const empty = { keys: {}, speeds: {}, occupancy: {}, speedsVersion: '' }
+
+test('requests by key, speeds and queues reach the leader’s view', async (t) => {
+  const time = new VirtualTime()
+  const { reports, keyLoad, speeds } = start(t, time, 'h')
+  for (let index = 0; index < 20; index += 1) reports.count('notes', 7)
+  reports.count('other', 7)
+  for (let index = 0; index < 40; index += 1) reports.observeSpeed('t', 2)
+  reports.observeOccupancy('notes', 8)
+  reports.receive(JSON.stringify({ ...empty, occupancy: { notes: [12, 3] } }))
+  await time.advance(400)
+  assert.ok(keyLoad.rate(7) > 8)
+  assert.ok(speeds.factor('t') > 1.5)
+  assert.ok(Math.abs((reports.occupancy('notes') ?? 0) - 5) < 1, 'the mean of 8, 4, 4 and 4')
+})
+
+test('a host that does not lead passes reports on with its own', (t) => {
+  const time = new VirtualTime()
+  const { reports, keyLoad } = start(t, time, 'reader')
+  reports.count('notes', 7)
+  const report = { ...empty, keys: { notes: [[7, 3]] }, speeds: { t: [4, 2] } }
+  assert.equal(reports.receive(JSON.stringify(report)).status, 503, 'it has no guidance to pass on')
+  assert.equal(keyLoad.sum(0, 65_535), 0, 'only the leader balances')
+  assert.deepEqual(reports.takeReport(), {
+    keys: { notes: [[7, 4]] },
+    speeds: { t: [4, 2] },
+    occupancy: {},
+    speedsVersion: '',
+  })
+})
+
+test('guidance ends when the leader is not heard of any more', async (t) => {
+  const time = new VirtualTime()
+  const state = start(t, time, 'h')
+  state.shares = { hot: 0.25 }
+  state.reports.observeOccupancy('notes', 6)
+  await time.advance(600)
+  assert.equal(state.reports.share('hot'), 0.25)
+  assert.equal(state.reports.share('other'), 1)
+  state.reports.stop()
+  await time.advance(3000)
+  assert.equal(state.reports.share('hot'), 1)
+  assert.equal(state.reports.occupancy('notes'), undefined)
+})
+
+test('the table of speeds is sent once to a host that has it', async (t) => {
+  const time = new VirtualTime()
+  const { reports, adopted } = start(t, time, 'h')
+  for (let index = 0; index < 40; index += 1) reports.observeSpeed('slow', 2)
+  await time.advance(4000)
+  assert.ok((adopted.slow ?? 1) > 1.5)
+  const ask = (speedsVersion: string): { speeds?: object; speedsVersion: string } =>
+    JSON.parse(reports.receive(JSON.stringify({ ...empty, speedsVersion })).body ?? '') as {
+      speeds?: object
+      speedsVersion: string
+    }
+  const first = ask('')
+  assert.ok(first.speeds)
+  assert.equal(ask(first.speedsVersion).speeds, undefined)
+})
+
+test('a malformed report changes nothing', (t) => {
+  const { reports, keyLoad, speeds } = start(t, new VirtualTime(), 'h')
+  for (const malformed of [
+    '',
+    '[]',
+    'null',
+    JSON.stringify({ ...empty, keys: { notes: [[1]] } }),
+    JSON.stringify({ ...empty, speeds: { t: ['x', 1] } }),
+    JSON.stringify({ ...empty, occupancy: [] }),
+    JSON.stringify({ keys: {}, speeds: {}, occupancy: {} }),
+  ]) {
+    assert.equal(reports.receive(malformed).status, 400, malformed)
+  }
+  assert.equal(keyLoad.sum(0, 65_535), 0)
+  assert.deepEqual(speeds.factors(), {})
+})
--- a/packages/gateway/src/target-table.ts
+++ b/packages/gateway/src/target-table.ts
@@ -37,6 +37,10 @@
   readonly logger: Logger
   readonly directory: Directory
   readonly hostName: string
+  /** Takes each report of a target's queue. */
+  readonly observeOccupancy?: (service: string, occupancy: number) => void
+  /** Mean number of requests at a target of the service, over all hosts; undefined while it is not known. */
+  readonly meanOccupancy?: (service: string) => number | undefined
 }
 
 export class ObservedTarget {
@@ -79,8 +83,12 @@
     return observed
   }
 
-  /** Mean occupancy of the service's targets, from recent reports. */
+  /** Mean occupancy of the service's targets: that of all hosts, or else from reports to this one. */
   usualOccupancy(service: string): number {
+    return this.#options.meanOccupancy?.(service) ?? this.#ownOccupancy(service)
+  }
+
+  #ownOccupancy(service: string): number {
     const usual = this.#usual.get(service)
     if (usual === undefined) return 0
     return usual.occupancy * decay(this.#options.clock.monotonicMs() - usual.atMs, usualMemoryMs)
@@ -215,11 +223,19 @@
   #reported(target: KnownTarget, report: LoadReport, nowMs: number): void {
     this.of(target.id).load.reported(nowMs, report)
     const occupancy = report.running + report.waiting
-    const known = this.#usual.has(target.service) ? this.usualOccupancy(target.service) : occupancy
+    this.#options.observeOccupancy?.(target.service, occupancy)
+    const known = this.#usual.has(target.service) ? this.#ownOccupancy(target.service) : occupancy
     const mean = known + (occupancy - known) * usualRate
     this.#usual.set(target.service, { occupancy: mean, atMs: nowMs })
   }
 
+  /** Factors on the work time, by target. */
+  adoptSpeeds(factors: Readonly<Record<string, number>>): void {
+    for (const [id, factor] of Object.entries(factors)) {
+      if (this.#options.directory.target(id) !== undefined) this.of(id).load.adoptSpeed(factor)
+    }
+  }
+
   /** Forgets targets that are gone; answers that still arrive from them are passed on to their end. */
   retain(): void {
     for (const [id, observed] of this.#observed) {
--- a/packages/gateway/src/testing-world.ts
+++ b/packages/gateway/src/testing-world.ts
@@ -9,6 +9,7 @@
 import {
   GrantOutcome,
   TargetControl,
+  TargetSpeeds,
   type ControlError,
   type GrantCall,
   type KeyRange,
@@ -237,6 +238,7 @@
       directory: this.directory,
       leadership: this.leadership,
       calls: new WorldCalls(world, this),
+      speeds: new TargetSpeeds(),
       maxHoldMs,
       workMs: () => 100,
     })
--- a/packages/routing/src/load.ts
+++ b/packages/routing/src/load.ts
@@ -110,6 +110,11 @@
     return workMs
   }
 
+  /** Takes the factor on the work time that all hosts observed, to which this host's own observations belong. */
+  adoptSpeed(factor: number): void {
+    this.#speedFactor = Math.min(slowestFactor, Math.max(fastestFactor, factor))
+  }
+
   /** Requests that run or wait at the target; an old report gives way to `expected`. */
   occupancy(nowMs: number, expected: number): number {
     if (this.#report === undefined) return Math.max(this.inFlight, expected)
@@ -157,6 +162,28 @@
   }
 }
 
+/** The mean of many targets' reports; each report counts less with time, so that a mean over all hosts is of this moment. */
+export class MeanOccupancy {
+  #sum = 0
+  #count = 0
+  #atMs = 0
+
+  /** `sum` is the sum of `count` reported numbers of requests. */
+  add(nowMs: number, sum: number, count: number): void {
+    if (!(count > 0) || !Number.isFinite(sum)) return
+    const weight = decay(nowMs - this.#atMs, occupancyMemoryMs)
+    this.#sum = this.#sum * weight + sum
+    this.#count = this.#count * weight + count
+    this.#atMs = nowMs
+  }
+
+  /** Falls to 0 when no reports come. */
+  at(nowMs: number): number {
+    if (this.#count === 0) return 0
+    return (this.#sum / this.#count) * Math.min(1, this.#count * decay(nowMs - this.#atMs, usualMemoryMs))
+  }
+}
+
 export interface Prediction {
   /** Time in a slot. */
   readonly workMs: number
