Take keys from slow targets sooner; bound the targets that a keyed request runs on

A repeated keyed request could run on more targets than its route allows when its key moved twice.

Change: targets' own queues reach the leader; one with a lasting queue counts as full at its present rate. The first observations of a speed count more, and a single one at most twice what is known. A repeat is refused where it would be one target too many.

Tests that failed before: 'a request with a key runs on no more targets than its route allows', 'a slow target is told from a fast one by its first responses', 'a target with a lasting queue counts as full'.

--- a/packages/assignment/src/assignment.test.ts
+++ b/packages/assignment/src/assignment.test.ts
@@ -29,7 +29,7 @@
   type Assignment,
 } from './range-map.js'
 import { admittedShares } from './shares.js'
-import { TargetSpeeds, speedExponent } from './target-speeds.js'
+import { TargetSpeeds, saturatedFactor, speedExponent } from './target-speeds.js'
 
 const targets = (count: number, weight = 1): BalanceTarget[] =>
   Array.from({ length: count }, (_, index) => ({
@@ -262,6 +262,25 @@
   assert.equal(speedExponent(1), 1)
 })
 
+test('a slow target is told from a fast one by its first responses', () => {
+  const speeds = new TargetSpeeds()
+  const random = new Random(3)
+  for (let index = 0; index < 10; index += 1) {
+    speeds.add('slow', 1.6 * (0.5 + random.float()), 1)
+    speeds.add('fast', 0.7 * (0.5 + random.float()), 1)
+  }
+  assert.ok(speeds.factor('slow') > 1.25)
+  assert.ok(speeds.factor('fast') < 0.9)
+})
+
+test('a target with a lasting queue counts as full, however fast its answers seem', () => {
+  // Ten requests a second of 400 ms each need four slots at the usual speed; six have a queue.
+  const demand = { requestsPerSecond: 10, workMs: 400, slots: 6 }
+  assert.equal(saturatedFactor(1, demand), 1.5)
+  assert.equal(saturatedFactor(2, demand), 2)
+  assert.equal(saturatedFactor(1, { ...demand, requestsPerSecond: 0 }), 1)
+})
+
 test('keys of an owner that cannot release them stay with it', () => {
   const assignment = initialAssignment('notes', targets(3))
   const left = targets(3).slice(1)
--- a/packages/assignment/src/target-speeds.ts
+++ b/packages/assignment/src/target-speeds.ts
@@ -1,7 +1,11 @@
 /** How long work takes on each target, relative to the mean of its service, as all hosts observe it. */
 
-/** Weight of one observation; the mean of some tens of responses tells a slow target from a fast one. */
+/** Weight of one observation once many are known; the mean of some tens tells a slow target from a fast one. */
 const learningRate = 0.025
+/** The usual speed counts as so many observations, so that the first ones already tell something. */
+const priorObservations = 10
+/** Work times have a long tail; one observation counts for at most this many times what is known. */
+const maxRise = 2
 /** Bounds for a factor, so that a few extreme responses do not empty a target. */
 const slowest = 4
 const fastest = 0.4
@@ -11,18 +15,25 @@
 
 export class TargetSpeeds {
   readonly #factors = new Map<string, number>()
+  readonly #observations = new Map<string, number>()
 
   /** `sum` is the sum of `count` observed factors. */
   add(target: string, sum: number, count: number): void {
     if (!(count > 0) || !Number.isFinite(sum)) return
     const known = this.#factors.get(target) ?? 1
-    const weight = 1 - (1 - learningRate) ** count
-    this.#factors.set(target, known + (sum / count - known) * weight)
+    const before = this.#observations.get(target) ?? priorObservations
+    const mean = Math.min(sum / count, known * maxRise)
+    const weight = Math.max(1 - (1 - learningRate) ** count, count / (before + count))
+    this.#factors.set(target, known + (mean - known) * weight)
+    this.#observations.set(target, before + count)
   }
 
   /** Takes what another leader knew; its own later observations go on from there. */
   adopt(factors: Readonly<Record<string, number>>): void {
-    for (const [target, factor] of Object.entries(factors)) this.#factors.set(target, factor)
+    for (const [target, factor] of Object.entries(factors)) {
+      this.#factors.set(target, factor)
+      this.#observations.set(target, 1 / learningRate)
+    }
   }
 
   /** All that differ from the usual, with two digits. */
@@ -41,6 +52,18 @@
   }
 }
 
+/**
+ * The factor of a target with a lasting queue: it cannot do more than it is asked for, however fast its answers seem, as
+ * those that take too long are never seen. Load pattern: a slow target owns more busy keys than it can serve.
+ */
+export const saturatedFactor = (
+  factor: number,
+  { requestsPerSecond, workMs, slots }: { requestsPerSecond: number; workMs: number; slots: number },
+): number =>
+  requestsPerSecond <= 0
+    ? factor
+    : Math.min(slowest, Math.max(factor, (slots * 1000) / (workMs * requestsPerSecond)))
+
 /** With room, work is shared as if fast targets were faster still; near the limit every target is needed. */
 const spareExponent = 2
 /** In proportion to their speed. */
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -91,8 +91,8 @@
       logger,
       directory,
       hostName,
-      observeOccupancy: (service, occupancy) => {
-        this.#reports.observeOccupancy(service, occupancy)
+      observeOccupancy: (target, occupancy) => {
+        this.#reports.observeOccupancy(target, occupancy)
       },
       meanOccupancy: (service) => this.#reports.occupancy(service),
     })
@@ -147,6 +147,7 @@
       speeds,
       maxHoldMs: bounds.maxHoldMs,
       workMs: (service) => this.#dispatcher.serviceWorkMs(service),
+      occupancy: (target) => this.#reports.targetOccupancy(target),
     })
     const feedWaitMs = Math.floor(feedWaitShare * Math.min(bounds.configurationMs, bounds.evacuationMs))
     const registerIntervalMs = bounds.drainMs * registerIntervalShare
--- a/packages/gateway/src/dispatcher.test.ts
+++ b/packages/gateway/src/dispatcher.test.ts
@@ -389,6 +389,27 @@
   }
 })
 
+test('a request with a key runs on no more targets than its route allows, though its key moves on', async (t) => {
+  const targets: TestTarget[] = []
+  for (const id of ['a', 'b', 'c']) {
+    const next = { a: 'b', b: 'c', c: 'a' }[id] ?? ''
+    targets.push(
+      await startTarget(t, id, (request) => {
+        gateway.assign(next, { version: targets.length + id.charCodeAt(0) })
+        request.socket.resetAndDestroy()
+      }),
+    )
+  }
+  const gateway = await Gateway.start(t, targets, { isSharded: true })
+  gateway.assign('a', { version: 1 })
+  // The route allows two targets.
+  assert.equal((await gateway.call('/notes/1', { fields: { key: 7 } })).status, 502)
+  assert.deepEqual(
+    targets.map(({ seen }) => seen.length),
+    [1, 1, 0],
+  )
+})
+
 test('an owner that resets one connection after the other is full, and callers are told when to come back', async (t) => {
   const target = await startTarget(t, 'a', reset)
   const gateway = await Gateway.start(t, [target], { isSharded: true })
--- a/packages/gateway/src/key-control.ts
+++ b/packages/gateway/src/key-control.ts
@@ -27,6 +27,8 @@
   readonly maxHoldMs: number
   /** Mean work time of a request to a service. */
   readonly workMs: (service: string) => number
+  /** Mean number of requests that run or wait at a target. */
+  readonly occupancy: (target: string) => number
 }
 
 export class KeyControl {
--- a/packages/gateway/src/key-keeper.ts
+++ b/packages/gateway/src/key-keeper.ts
@@ -16,6 +16,7 @@
   mergeRanges,
   placeHotKey,
   reassign,
+  saturatedFactor,
   speedExponent,
   withAddresses,
   type AssignedRange,
@@ -48,6 +49,8 @@
 const balancedShare = 1 / 3
 /** A cold target takes few requests, so it is given few keys. */
 const coldWeight = 0.4
+/** Requests that wait at a target, as a share of its slots, from which on it has a lasting queue. */
+const queueShare = 0.3
 /** Above this utilization no target can be spared, cold ones included. */
 const spareColdUtilization = 0.7
 /** A store that takes longer is treated as away. */
@@ -59,6 +62,8 @@
   readonly speeds: TargetSpeeds
   /** Mean work time of a request to the service. */
   readonly workMs: () => number
+  /** Mean number of requests that run or wait at a target. */
+  readonly occupancy: (target: string) => number
 }
 
 /** Share of the targets' capacity that is used; what a target cannot serve does not count. */
@@ -71,6 +76,11 @@
   return capacity === 0 ? 1 : used / capacity
 }
 
+interface ServiceDemand extends TargetDemand {
+  /** How long work takes on the target, relative to the usual. */
+  readonly factor: number
+}
+
 interface Decision {
   readonly changes: readonly Reassignment[]
   readonly reason: string
@@ -215,9 +225,10 @@
     this.#shares = admittedShares(demands)
     const utilization = utilizationOf(demands)
     const exponent = speedExponent(utilization)
+    const factors = new Map(demands.map(({ id, factor }) => [id, factor]))
     const mayReceiveCold = utilization > spareColdUtilization
     const targets = directory.targets(service).map((target) => ({
-      ...this.#weigh(target, nowMs, exponent),
+      ...this.#weigh(target, nowMs, (factors.get(target.id) ?? 1) ** exponent),
       mayReceive: mayReceiveCold || target.coldUntilMs <= nowMs,
     }))
     const pinned = this.#owners.pinned(current)
@@ -256,8 +267,8 @@
   }
 
   /** Demand and capacity of each usable target. */
-  #demands({ ranges }: Assignment): TargetDemand[] {
-    const { directory, service, keyLoad, speeds, workMs } = this.#options
+  #demands({ ranges }: Assignment): ServiceDemand[] {
+    const { directory, service, keyLoad, workMs } = this.#options
     const rates = new Map<string, number>()
     for (const { from, to, owner } of ranges) {
       rates.set(owner, (rates.get(owner) ?? 0) + keyLoad.sum(from, to))
@@ -265,18 +276,27 @@
     return directory
       .targets(service)
       .filter((target) => directory.isUsable(target))
-      .map(({ id, slots }) => ({
-        id,
-        requestsPerSecond: rates.get(id) ?? 0,
-        capacityPerSecond: (slots * 1000) / (workMs() * speeds.factor(id)),
-      }))
+      .map((target) => {
+        const requestsPerSecond = rates.get(target.id) ?? 0
+        const factor = this.#factor(target, requestsPerSecond)
+        const capacityPerSecond = (target.slots * 1000) / (workMs() * factor)
+        return { id: target.id, requestsPerSecond, capacityPerSecond, factor }
+      })
+  }
+
+  /** How long work takes on the target, relative to the usual. */
+  #factor({ id, slots }: KnownTarget, requestsPerSecond: number): number {
+    const { speeds, workMs, occupancy } = this.#options
+    const factor = speeds.factor(id)
+    const hasQueue = occupancy(id) > slots * (1 + queueShare)
+    return hasQueue ? saturatedFactor(factor, { requestsPerSecond, workMs: workMs(), slots }) : factor
   }
 
   /** A silent target keeps its keys until its grants have lapsed: nobody else could be granted them before. */
-  #weigh(target: KnownTarget, nowMs: number, exponent: number): Omit<BalanceTarget, 'mayReceive'> {
-    const { directory, speeds } = this.#options
+  #weigh(target: KnownTarget, nowMs: number, slowness: number): Omit<BalanceTarget, 'mayReceive'> {
+    const { directory } = this.#options
     const lost = this.#grants.isSilent(target.id) && nowMs > this.#grants.lapsesAtMs(target.id)
-    const capacity = target.slots / speeds.factor(target.id) ** exponent
+    const capacity = target.slots / slowness
     const weight = target.coldUntilMs > nowMs ? capacity * coldWeight : capacity
     const isUsable = directory.isUsable(target) && !lost
     return { id: target.id, startedAtEpochMs: target.startedAtEpochMs, weight: isUsable ? weight : 0 }
--- a/packages/gateway/src/peer-reports.test.ts
+++ b/packages/gateway/src/peer-reports.test.ts
@@ -4,6 +4,7 @@
 import { KeyLoad, TargetSpeeds } from '@pimentotally/assignment'
 import { SilentLogger } from '@pimentotally/core'
 import { VirtualTime } from '@pimentotally/core/testing'
+import { configurationRow, targetRow } from '@pimentotally/platform/testing'
 import { Directory } from './directory.js'
 import { encodeLeader, ownKeys } from './own-rows.js'
 import { PeerReports } from './peer-reports.js'
@@ -23,6 +24,9 @@
   const directory = new Directory({ clock, logger })
   const record = { leader: 'h', peerAddress: '127.0.0.1:1', term: 1, renewal: 1, released: false }
   directory.applyOwnRow({ key: ownKeys.leader, version: 1, value: encodeLeader(record) })
+  directory.applyOperator({ changed: [configurationRow()], removed: [], version: 1 })
+  const entries = ['t', 'u'].map((id, index) => targetRow({ id, address: `10.0.0.${String(index + 1)}:80` }))
+  directory.applyRegister({ changed: entries, removed: [], version: 2 })
   const keyLoad = new KeyLoad()
   const speeds = new TargetSpeeds()
   const state: Reporting = {
@@ -57,12 +61,13 @@
   for (let index = 0; index < 20; index += 1) reports.count('notes', 7)
   reports.count('other', 7)
   for (let index = 0; index < 40; index += 1) reports.observeSpeed('t', 2)
-  reports.observeOccupancy('notes', 8)
-  reports.receive(JSON.stringify({ ...empty, occupancy: { notes: [12, 3] } }))
+  reports.observeOccupancy('t', 8)
+  reports.receive(JSON.stringify({ ...empty, occupancy: { u: [12, 3], gone: [90, 1] } }))
   await time.advance(400)
   assert.ok(keyLoad.rate(7) > 8)
   assert.ok(speeds.factor('t') > 1.5)
   assert.ok(Math.abs((reports.occupancy('notes') ?? 0) - 5) < 1, 'the mean of 8, 4, 4 and 4')
+  assert.equal(Math.round(reports.targetOccupancy('t')), 8)
 })
 
 test('a host that does not lead passes reports on with its own', (t) => {
@@ -84,7 +89,7 @@
   const time = new VirtualTime()
   const state = start(t, time, 'h')
   state.shares = { hot: 0.25 }
-  state.reports.observeOccupancy('notes', 6)
+  state.reports.observeOccupancy('t', 6)
   await time.advance(600)
   assert.equal(state.reports.share('hot'), 0.25)
   assert.equal(state.reports.share('other'), 1)
--- a/packages/gateway/src/peer-reports.ts
+++ b/packages/gateway/src/peer-reports.ts
@@ -45,7 +45,7 @@
   readonly keys: Readonly<Record<string, readonly SumAndCount[]>>
   /** Observed factors on the work time, for each target. */
   readonly speeds: Readonly<Record<string, SumAndCount>>
-  /** Requests that ran or waited at targets when they answered, for each service. */
+  /** Requests that ran or waited at a target when it answered, for each target. */
   readonly occupancy: Readonly<Record<string, SumAndCount>>
   /** The table of speeds that the reporting host has. */
   readonly speedsVersion: string
@@ -99,6 +99,12 @@
   sums.set(name, [knownSum + sum, knownCount + count])
 }
 
+const meanOf = (means: Map<string, MeanOccupancy>, name: string): MeanOccupancy => {
+  const mean = means.get(name) ?? new MeanOccupancy()
+  means.set(name, mean)
+  return mean
+}
+
 export class PeerReports {
   readonly #options: PeerReportsOptions
   readonly #counts = new Map<string, Map<number, number>>()
@@ -106,6 +112,8 @@
   readonly #occupancy = new Map<string, SumAndCount>()
   /** Made of all reports, while this host leads. */
   readonly #means = new Map<string, MeanOccupancy>()
+  /** The same by target. */
+  readonly #targetMeans = new Map<string, MeanOccupancy>()
   readonly #caller = new HttpCaller({ connections: 1 })
   #guidance: Guidance = { shares: {}, occupancy: {}, speedsVersion: '', speeds: {} }
   #guidedAtMs = -guidanceLifetimeMs
@@ -133,9 +141,14 @@
     addTo(this.#speeds, target, [factor, 1])
   }
 
-  /** A target said with an answer how many requests run or wait there. */
-  observeOccupancy(service: string, occupancy: number): void {
-    addTo(this.#occupancy, service, [occupancy, 1])
+  /** The target said with an answer how many requests run or wait there. */
+  observeOccupancy(target: string, occupancy: number): void {
+    addTo(this.#occupancy, target, [occupancy, 1])
+  }
+
+  /** While this host leads: mean number of requests at the target, as all hosts heard of late. */
+  targetOccupancy(target: string): number {
+    return this.#targetMeans.get(target)?.at(this.#options.clock.monotonicMs()) ?? 0
   }
 
   /** Which part of the requests for a target's keys may be sent to it; 1 where the leader says nothing. */
@@ -262,20 +275,25 @@
       for (const [key, requests] of pairs) this.count(service, key, requests)
     }
     for (const [target, sum] of Object.entries(speeds)) addTo(this.#speeds, target, sum)
-    for (const [service, sum] of Object.entries(occupancy)) addTo(this.#occupancy, service, sum)
+    for (const [target, sum] of Object.entries(occupancy)) addTo(this.#occupancy, target, sum)
   }
 
   #add({ keys, speeds, occupancy }: Report): void {
-    const { keyLoad, speeds: known, clock } = this.#options
+    const { keyLoad, speeds: known, clock, directory } = this.#options
     for (const [service, pairs] of Object.entries(keys)) {
       const load = keyLoad(service)
       if (load !== undefined) for (const [key, requests] of pairs) load.add(key, requests)
     }
     for (const [target, [sum, count]] of Object.entries(speeds)) known.add(target, sum, count)
-    for (const [service, [sum, count]] of Object.entries(occupancy)) {
-      const mean = this.#means.get(service) ?? new MeanOccupancy()
-      this.#means.set(service, mean)
-      mean.add(clock.monotonicMs(), sum, count)
+    const nowMs = clock.monotonicMs()
+    for (const [id, [sum, count]] of Object.entries(occupancy)) {
+      const target = directory.target(id)
+      if (target === undefined) continue
+      meanOf(this.#targetMeans, id).add(nowMs, sum, count)
+      meanOf(this.#means, target.service).add(nowMs, sum, count)
+    }
+    for (const id of this.#targetMeans.keys()) {
+      if (directory.target(id) === undefined) this.#targetMeans.delete(id)
     }
   }
 }
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -78,9 +78,9 @@
   readonly #disowned = new Set<string>()
   /** Targets that this request is not sent to again, though they own its key. */
   readonly #barred = new Set<string>()
+  /** Targets that may have run the request. */
+  readonly #ranOn = new Set<string>()
   #sends = 0
-  /** A target may have run the request. */
-  #mayHaveRun = false
   #finished = false
   /** An answer of a target that is passed on when nothing better comes. */
   #spare: TargetResponse | undefined
@@ -139,7 +139,7 @@
     if (this.#finished) return
     const selection = await this.#selectSettled()
     if (selection === undefined) return
-    const refusal = 'refusal' in selection ? selection.refusal : this.#refuseRepeat(kind)
+    const refusal = 'refusal' in selection ? selection.refusal : this.#refuseRepeat(kind, selection.target)
     if (refusal === undefined) {
       this.#launch(selection as Choice)
       if (kind === 'first') this.#scheduleHedge((selection as Choice).predicted)
@@ -177,8 +177,13 @@
     })
   }
 
-  #refuseRepeat(kind: SendKind): Refusal | undefined {
+  #refuseRepeat(kind: SendKind, { id }: KnownTarget): Refusal | undefined {
     if (kind === 'first') return undefined
+    // A key may have moved since; its next owner is one more target.
+    const { maxTargets } = this.#inbound.match.route
+    if (!this.#ranOn.has(id) && this.#ranOn.size >= maxTargets) {
+      return { reason: 'targets_used', retryAfterMs: defaultRetryAfterMs }
+    }
     const budget = this.#dispatcher.budget(this.#inbound.match.service.name)
     if (budget.trySpend(this.#nowMs(), this.#options.directory.hostCount)) return undefined
     return { reason: 'retry_budget', retryAfterMs: defaultRetryAfterMs }
@@ -252,7 +257,7 @@
       return
     }
     const ran = result.kind === 'lost' || (result.kind === 'response' && !result.notExecuted)
-    if (ran) this.#mayHaveRun = true
+    if (ran) this.#ranOn.add(target.id)
     if (result.kind === 'response' && ran) {
       if (result.status < 500 || !this.#idempotent) {
         this.#answer(target.id, result)
@@ -277,7 +282,7 @@
   }
 
   #mayRepeat(): boolean {
-    if (this.#mayHaveRun && !this.#idempotent) return false
+    if (this.#ranOn.size > 0 && !this.#idempotent) return false
     const { route } = this.#inbound.match
     const workMs = this.#dispatcher.routeWorkMs(route)
     // An owner may get its request again, as no other target could run it.
@@ -330,13 +335,13 @@
       return
     }
     this.#spare?.incoming.destroy()
-    if (this.#mayHaveRun) this.#generate({ status: 502, code: reason }, inputs)
+    if (this.#ranOn.size > 0) this.#generate({ status: 502, code: reason }, inputs)
     else this.#generate({ status: 503, code: reason, retryAfterMs }, inputs)
   }
 
   #timeOut(): void {
     if (this.#finished) return
-    const sent = this.#mayHaveRun || [...this.#attempts].some(({ exchange }) => exchange.sent)
+    const sent = this.#ranOn.size > 0 || [...this.#attempts].some(({ exchange }) => exchange.sent)
     this.#cancelAttempts()
     const inputs = { tried: [...this.#tried], leftMs: this.#leftMs() }
     if (sent) this.#generate({ status: 504, code: 'timeout' }, inputs)
--- a/packages/gateway/src/target-table.ts
+++ b/packages/gateway/src/target-table.ts
@@ -38,7 +38,7 @@
   readonly directory: Directory
   readonly hostName: string
   /** Takes each report of a target's queue. */
-  readonly observeOccupancy?: (service: string, occupancy: number) => void
+  readonly observeOccupancy?: (target: string, occupancy: number) => void
   /** Mean number of requests at a target of the service, over all hosts; undefined while it is not known. */
   readonly meanOccupancy?: (service: string) => number | undefined
 }
@@ -223,7 +223,7 @@
   #reported(target: KnownTarget, report: LoadReport, nowMs: number): void {
     this.of(target.id).load.reported(nowMs, report)
     const occupancy = report.running + report.waiting
-    this.#options.observeOccupancy?.(target.service, occupancy)
+    this.#options.observeOccupancy?.(target.id, occupancy)
     const known = this.#usual.has(target.service) ? this.#ownOccupancy(target.service) : occupancy
     const mean = known + (occupancy - known) * usualRate
     this.#usual.set(target.service, { occupancy: mean, atMs: nowMs })
--- a/packages/gateway/src/testing-world.ts
+++ b/packages/gateway/src/testing-world.ts
@@ -241,6 +241,7 @@
       speeds: new TargetSpeeds(),
       maxHoldMs,
       workMs: () => 100,
+      occupancy: (target) => world.occupancy.get(target) ?? 0,
     })
     const follow = (table: string, apply: (change: Parameters<Directory['applyOwn']>[0]) => void): Replica =>
       new Replica({ store: this.store, table, clock, logger, waitMs: 500, listener: { confirmed: apply } })
@@ -366,6 +367,8 @@
   readonly hosts: WorldHost[]
   readonly targets: FakeTarget[]
   readonly violations: string[] = []
+  /** Requests that run or wait at a target, as hosts report it. */
+  readonly occupancy = new Map<string, number>()
   /** Highest fence with which any target had each part of the keys. */
   readonly #fences: { readonly range: KeyRange; readonly fence: number; readonly id: string }[] = []
 
