Compress what hosts pass on; tell callers of a hot key to come back later

Callers of a key that gets ten times what its owner can serve were told to come back after 1.2 s, into the same load.

Change: a follower gets only the last version of each row; larger answers are compressed, once for all followers that ask for the same changes; values are passed on as text, which compresses to a tenth. Retry-After of a share rises with the overload, up to 4 s.

Tests that failed before: 'a follower that was behind gets the last of several versions, in a tenth of its size'.

--- a/packages/gateway/src/change-log.ts
+++ b/packages/gateway/src/change-log.ts
@@ -53,12 +53,16 @@
     for (const waiter of [...this.#waiters]) waiter()
   }
 
-  /** Undefined when changes since that version may have been forgotten. */
+  /** The last change of each row; undefined when changes since that version may have been forgotten. */
   since(after: number): readonly Change[] | undefined {
     if (this.#floor === undefined || after < this.#floor) return undefined
-    let first = this.#changes.length
-    while (first > 0 && (this.#changes[first - 1]?.version ?? 0) > after) first -= 1
-    return this.#changes.slice(first)
+    const newest = new Map<string, Change>()
+    for (let index = this.#changes.length - 1; index >= 0; index -= 1) {
+      const change = this.#changes[index]
+      if (change === undefined || change.version <= after) break
+      if (!newest.has(change.key)) newest.set(change.key, change)
+    }
+    return [...newest.values()].reverse()
   }
 
   /** The whole table. */
--- a/packages/gateway/src/peer-reports.test.ts
+++ b/packages/gateway/src/peer-reports.test.ts
@@ -106,7 +106,7 @@
   await time.advance(4000)
   assert.ok((adopted.slow ?? 1) > 1.5)
   const ask = (speedsVersion: string): { speeds?: object; speedsVersion: string } =>
-    JSON.parse(reports.receive(JSON.stringify({ ...empty, speedsVersion })).body ?? '') as {
+    JSON.parse(reports.receive(JSON.stringify({ ...empty, speedsVersion })).body?.toString() ?? '') as {
       speeds?: object
       speedsVersion: string
     }
--- a/packages/gateway/src/peer-server.ts
+++ b/packages/gateway/src/peer-server.ts
@@ -5,7 +5,8 @@
 
 export interface PeerAnswer {
   readonly status: number
-  readonly body?: string
+  readonly headers?: Readonly<Record<string, string>>
+  readonly body?: string | Buffer
 }
 
 export type PeerHandler = (query: URLSearchParams, body: string) => PeerAnswer | Promise<PeerAnswer>
@@ -33,9 +34,9 @@
         const handler = handlers.get(`${request.method ?? ''} ${url.pathname}`)
         const answer = handler?.(url.searchParams, Buffer.concat(chunks).toString('utf8')) ?? { status: 404 }
         Promise.resolve(answer).then(
-          ({ status, body }) => {
+          ({ status, headers, body }) => {
             if (!response.destroyed)
-              response.writeHead(status, { 'content-type': 'application/json' }).end(body)
+              response.writeHead(status, { 'content-type': 'application/json', ...headers }).end(body)
           },
           (error: unknown) => {
             logger.error('peer.handler_failed', { path: url.pathname, error })
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -3,9 +3,11 @@
  * the store itself when none of them answers or their copies are old. An answer says how old its copy is, so that age adds
  * up over several hosts and stays bounded. Reads that decisions depend on, and all writes, go to the store in any case.
  */
+import { promisify } from 'node:util'
+import { gunzip, gzipSync } from 'node:zlib'
 import { Result } from 'true-myth'
 import type { Clock, Logger } from '@pimentotally/core'
-import { HttpCaller } from '@pimentotally/http'
+import { HttpCaller, type HttpResponse } from '@pimentotally/http'
 import {
   RowStore,
   type RowTransaction,
@@ -20,6 +22,15 @@
 import type { Replica } from './replica.js'
 
 export const relayPath = '/changes'
+/** How long ago the store confirmed the copy, in milliseconds. */
+const ageHeader = 'x-age-ms'
+/** Keeps every byte, and text remains text, which compresses well. */
+const valueEncoding = 'latin1'
+/** The fastest one; the rows are much alike. */
+const compressionLevel = 1
+/** Smaller answers are not worth the processor time. */
+const compressFromBytes = 2048
+const unzip = promisify(gunzip)
 /** Beyond the time between two confirmations by the store, so that each is passed on once. */
 const confirmationSlackMs = 200
 /** Beyond the wait, for a busy host. */
@@ -35,21 +46,29 @@
   readonly replica: Replica
   /** A copy that was not confirmed for this long is not passed on. */
   readonly maxAgeMs: number
+  /** The last compressed answer, as many followers ask for the same changes. */
+  packed?: PackedAnswer
+}
+
+interface PackedAnswer {
+  readonly after: number
+  readonly version: number
+  readonly body: string | Buffer
 }
 
 interface RelayedRows {
   readonly rows: readonly { readonly key: string; readonly version: number; readonly value?: string }[]
   readonly version: number
   readonly isWhole: boolean
-  readonly ageMs: number
 }
 
 /** Answers a follower's call. */
 export const answerRelay = async (
-  { log, replica, maxAgeMs }: RelayedTable,
+  table: RelayedTable,
   query: URLSearchParams,
   clock: Clock,
 ): Promise<PeerAnswer> => {
+  const { log, replica, maxAgeMs } = table
   const after = Number(query.get('after'))
   if (!Number.isSafeInteger(after)) return { status: 400 }
   const ageMs = (): number => replica.ageMs() ?? Infinity
@@ -69,46 +88,44 @@
     })
   }
   if (!isCurrent()) return { status: 503 }
+  const body = pack(table, after)
+  const encoding: Record<string, string> = typeof body === 'string' ? {} : { 'content-encoding': 'gzip' }
+  return { status: 200, headers: { ...encoding, [ageHeader]: String(Math.ceil(ageMs())) }, body }
+}
+
+/** Compressed, as a configuration of a thousand routes would fill the link of a small host for seconds. */
+const pack = (table: RelayedTable, after: number): string | Buffer => {
+  const { log, packed } = table
+  if (packed?.after === after && packed.version === log.version) return packed.body
   const changes = log.since(after)
   const rows: RelayedRows['rows'] = (changes ?? log.rows()).map((row) =>
     'deleted' in row
       ? { key: row.key, version: row.version }
-      : { key: row.key, version: row.version, value: row.value.toString('base64') },
+      : { key: row.key, version: row.version, value: row.value.toString(valueEncoding) },
   )
-  return {
-    status: 200,
-    body: JSON.stringify({
-      rows,
-      version: changes === undefined ? log.version : Math.max(after, log.version),
-      isWhole: changes === undefined,
-      ageMs: Math.ceil(ageMs()),
-    } satisfies RelayedRows),
+  const answer: RelayedRows = {
+    rows,
+    version: changes === undefined ? log.version : Math.max(after, log.version),
+    isWhole: changes === undefined,
   }
+  const text = JSON.stringify(answer)
+  const body = text.length < compressFromBytes ? text : gzipSync(text, { level: compressionLevel })
+  table.packed = { after, version: log.version, body }
+  return body
 }
 
-export interface RelayedStoreOptions {
-  readonly store: RowStore
-  readonly clock: Clock
-  readonly logger: Logger
-  /** Hosts that may be followed, in the order in which they are asked. */
-  readonly sources: () => readonly string[]
-  /** Longest time between two confirmations of a copy by the store. */
-  readonly confirmedEveryMs: number
-  /** Pause between two direct reads of a table that changes all the time. */
-  readonly pollIntervalMs: Readonly<Record<string, number>>
-}
-
-const decode = (text: string): TableChanges | undefined => {
+const decode = async ({ headers, body }: HttpResponse): Promise<TableChanges | undefined> => {
   try {
-    const { rows, version, isWhole, ageMs } = JSON.parse(text) as RelayedRows
+    const text = headers['content-encoding'] === 'gzip' ? await unzip(body) : body
+    const { rows, version, isWhole } = JSON.parse(text.toString('utf8')) as RelayedRows
     return {
       version,
       isWhole,
-      ageMs,
+      ageMs: Number(headers[ageHeader]),
       rows: rows.map(({ key, version: rowVersion, value }) =>
         value === undefined
           ? { key, version: rowVersion, deleted: true }
-          : { key, version: rowVersion, value: Buffer.from(value, 'base64') },
+          : { key, version: rowVersion, value: Buffer.from(value, valueEncoding) },
       ),
     }
   } catch {
@@ -116,6 +133,18 @@
   }
 }
 
+export interface RelayedStoreOptions {
+  readonly store: RowStore
+  readonly clock: Clock
+  readonly logger: Logger
+  /** Hosts that may be followed, in the order in which they are asked. */
+  readonly sources: () => readonly string[]
+  /** Longest time between two confirmations of a copy by the store. */
+  readonly confirmedEveryMs: number
+  /** Pause between two direct reads of a table that changes all the time. */
+  readonly pollIntervalMs: Readonly<Record<string, number>>
+}
+
 /** A version below all others. */
 const nothingKnown = -1
 
@@ -185,8 +214,7 @@
       path: `${relayPath}?${query.toString()}`,
       timeoutMs: relayWaitMs + relayTimeoutMs,
     })
-    const changes =
-      answer.isOk && answer.value.status === 200 ? decode(answer.value.body.toString('utf8')) : undefined
+    const changes = answer.isOk && answer.value.status === 200 ? await decode(answer.value) : undefined
     if (changes !== undefined) {
       if (this.#followed.get(table) !== address) logger.info('relay.used', { table, source: address })
       this.#followed.set(table, address)
--- a/packages/gateway/src/replica.test.ts
+++ b/packages/gateway/src/replica.test.ts
@@ -1,6 +1,7 @@
 /** Copies of the store's tables, directly and through the leader. */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { gunzipSync } from 'node:zlib'
 import { Result } from 'true-myth'
 import { Random, SilentLogger } from '@pimentotally/core'
 import { VirtualTime } from '@pimentotally/core/testing'
@@ -78,8 +79,9 @@
   const query = new URLSearchParams({ after: String(after), waitMs: String(waitMs) })
   const pending = answerRelay(relayed, query, time.clock())
   await time.advance(waitMs + 10)
-  const { status, body = '{"rows":[],"isWhole":false}' } = await pending
-  const { rows, isWhole } = JSON.parse(body) as { rows: { key: string }[]; isWhole: boolean }
+  const { status, body } = await pending
+  const text = Buffer.isBuffer(body) ? gunzipSync(body).toString() : (body ?? '{"rows":[],"isWhole":false}')
+  const { rows, isWhole } = JSON.parse(text) as { rows: { key: string }[]; isWhole: boolean }
   return { status, keys: rows.map(({ key }) => key), isWhole }
 }
 
@@ -107,6 +109,32 @@
   )
 })
 
+test('a follower that was behind gets the last of several versions, in a tenth of its size', async () => {
+  const followed = follow()
+  const { store, time, log } = followed
+  const routes = (version: number): Buffer =>
+    Buffer.from(
+      JSON.stringify(
+        Array.from({ length: 1000 }, (_, index) => ({
+          name: `route-${String(index)}`,
+          prefix: `/service-${String(index)}/`,
+          timeout: '1500ms',
+          version,
+        })),
+      ),
+    )
+  await time.advance(600)
+  const first = log.version
+  for (let version = 1; version <= 3; version += 1) {
+    store.write(table, 'config', routes(version))
+    await time.advance(600)
+  }
+  const query = new URLSearchParams({ after: String(first) })
+  const { body } = await answerRelay(followed.relayed, query, time.clock())
+  assert.deepEqual((await ask(followed, first)).keys, ['config'])
+  assert.ok((body?.length ?? Infinity) < routes(3).length / 10 + 1000, String(body?.length))
+})
+
 test('age adds up: a follower’s copy is as old as the copy that it was passed', async () => {
   const time = new VirtualTime()
   const store = new WorldStore(time)
--- a/packages/gateway/src/target-selector.ts
+++ b/packages/gateway/src/target-selector.ts
@@ -20,6 +20,8 @@
 export const defaultRetryAfterMs = 250
 /** The leader learns of an overload, divides the keys and has them moved within about this time. */
 const overloadRetryAfterMs = 1200
+/** Keys stay hot for some seconds; callers come back after a third of the time that they have left at the latest. */
+const longestRetryAfterMs = 4000
 /** The keys of a leaving owner move within this time. */
 const leavingRetryAfterMs = 500
 /** The cost of the way to another failure domain, as a delay. */
@@ -75,6 +77,10 @@
   readonly routeWorkMs: (route: Route) => number
 }
 
+/** When all callers of an overloaded owner could have been served, at the rate that it can take. */
+const shareRetryAfterMs = (share: number): number =>
+  Math.min(longestRetryAfterMs, overloadRetryAfterMs / Math.max(share, 0.01))
+
 const refuse = (
   reason: string,
   retryAfterMs: number,
@@ -120,7 +126,7 @@
     }
     const share = admittedShare(target.id)
     if (share < 1 && random.float() >= share) {
-      return refuse('owner_share', overloadRetryAfterMs, { ...inputs, share })
+      return refuse('owner_share', shareRetryAfterMs(share), { ...inputs, share })
     }
     const coldWaitMs = targets.coldWaitMs(target, service)
     if (coldWaitMs > 0) return refuse('owner_cold', coldWaitMs, inputs)
