Read only changes after a cut; retry soon when a call has timed out

The new configuration was in force 5 s after the link was back, 3 s are allowed.

Ruled out: the relay, which answered 503 while its own copy was old.

Change: a copy is followed from its last version whatever the number of failures, since the store says when its history does not reach back; whole tables have 1.6 s; the time of a call that timed out counts as the pause after it.

Test that failed before: 'a host that was cut off reads only what changed when it is back, soon after'.

--- a/packages/gateway/src/replica.test.ts
+++ b/packages/gateway/src/replica.test.ts
@@ -60,6 +60,25 @@
   assert.deepEqual([...replica.rows.keys()], ['b'])
 })
 
+test('a host that was cut off reads only what changed when it is back, soon after', async () => {
+  const { time, store, view, replica } = follow()
+  let wholeReads = 0
+  const read = view.snapshot.bind(view)
+  view.snapshot = (...args) => {
+    wholeReads += 1
+    return read(...args)
+  }
+  await time.advance(1000)
+  store.isSilent = true
+  await time.advance(8000)
+  store.isSilent = false
+  store.write(table, 'a', Buffer.from('1'))
+  // A call under way, 500 + 800 ms, and the shortest pause.
+  await time.advance(1500)
+  assert.deepEqual([...replica.rows.keys()], ['a'])
+  assert.equal(wholeReads, 0)
+})
+
 test('a copy knows its age and whether the store answers', async () => {
   const { time, replica, view } = follow()
   assert.equal(replica.ageMs(), undefined)
--- a/packages/gateway/src/replica.ts
+++ b/packages/gateway/src/replica.ts
@@ -33,6 +33,8 @@
   confirmed(change: ReplicaChange): void
 }
 
+/** A configuration of a thousand routes takes some time on the link of a small host. */
+const wholeTableTimeoutMs = 1600
 /** Between two calls while the store does not answer. */
 const firstRetryMs = 150
 /** Within the bounds on leaving targets and configuration. */
@@ -69,7 +71,11 @@
   async run(): Promise<void> {
     const { clock } = this.#options
     while (!this.#stopped) {
-      if (!(await this.#refresh())) await clock.sleep(this.#retryMs())
+      const startedMs = clock.monotonicMs()
+      if (await this.#refresh()) continue
+      // A call that timed out has waited already; a link that is back must be noticed well within the bounds.
+      const tookMs = clock.monotonicMs() - startedMs
+      await clock.sleep(Math.max(firstRetryMs, this.#retryMs() - tookMs))
     }
   }
 
@@ -87,7 +93,7 @@
 
   async #readAll(): Promise<boolean> {
     const { store, table } = this.#options
-    const read = await store.snapshot(table)
+    const read = await store.snapshot(table, { timeoutMs: wholeTableTimeoutMs })
     if (read.isErr) return this.#failed(read.error)
     this.#replace(read.value)
     return true
@@ -154,8 +160,6 @@
     const { logger, table } = this.#options
     this.#failures += 1
     if (this.#failures === 1) logger.warn('replica.lost', { table, ...error, ageMs: this.ageMs() })
-    // Changes may have been missed for longer than the store keeps its history.
-    if (this.#failures > 3) this.#version = undefined
     return false
   }
 }
