Do not move keys for chance in the load of many targets

With four requests a second for each target, the load that is counted over five seconds differs by a fifth by chance, more than the tolerance of a busy service.

Ruled out: a larger tolerance for all, as small deployments have targets with many more requests.

Change: a target gives keys away only above its fair share, the tolerance and two standard deviations of the count.

--- a/packages/assignment/src/assignment.test.ts
+++ b/packages/assignment/src/assignment.test.ts
@@ -174,6 +174,24 @@
   assert.equal(placeHotKey(mergeRanges(completeMoves(moved, moved.ranges)), all, keyLoad), undefined)
 })
 
+test('chance in the load of many targets moves no keys', () => {
+  const keyLoad = new KeyLoad()
+  const random = new Random(5)
+  const all = targets(160)
+  const assignment = initialAssignment('notes', all)
+  let moves = 0
+  const rounds = 60
+  for (let round = 0; round < rounds; round += 1) {
+    // Four requests a second for each target, evenly over all keys.
+    for (let count = 0; count < 160 * 4 * 0.6; count += 1) keyLoad.add(random.integer(keyCount), 1)
+    keyLoad.decay(round * 600)
+    // The memory has to fill first.
+    if (round > 20) moves += balanceRanges(assignment, all, keyLoad, { tolerance: 1.15, maxMoves: 21 }).length
+  }
+  // Nothing is out of balance, so one range in ten rounds would be too many already.
+  assert.ok(moves < rounds / 10, String(moves))
+})
+
 test('a leaving target gives up all its keys to several others, and nothing else moves', () => {
   const assignment = initialAssignment('notes', targets(6))
   const left = targets(6).map((target) => (target.id === 't2' ? { ...target, weight: 0 } : target))
--- a/packages/assignment/src/balance.ts
+++ b/packages/assignment/src/balance.ts
@@ -4,7 +4,7 @@
  * load, so a hot neighbourhood is divided among several targets while cold keys stay where they are. Load pattern: a
  * few hundred neighbouring keys take a third of the requests, and others do some seconds later.
  */
-import type { KeyLoad } from './key-load.js'
+import { longMemoryMs, type KeyLoad } from './key-load.js'
 import {
   findRange,
   keyCount,
@@ -48,6 +48,13 @@
   load: number
 }
 
+/** Standard deviations of a measured load that are taken for chance. */
+const chanceDeviations = 2
+
+/** What a load may differ by chance: few requests say little. */
+const chance = (requestsPerSecond: number): number =>
+  chanceDeviations * Math.sqrt((requestsPerSecond * 1000) / longMemoryMs)
+
 /** Requests a second below which no key is worth a target of its own. */
 const minHotRate = 10
 /** A hot key moves only to a target that is this much faster. */
@@ -154,7 +161,7 @@
     const giver = loaded.reduce<Loaded | undefined>(
       (worst, entry) =>
         entry.target.weight > 0 &&
-        entry.load > fair(entry) * tolerance &&
+        entry.load > fair(entry) * tolerance + chance(fair(entry)) &&
         (worst === undefined || entry.load / entry.target.weight > worst.load / worst.target.weight)
           ? entry
           : worst,
--- a/packages/assignment/src/key-load.ts
+++ b/packages/assignment/src/key-load.ts
@@ -7,7 +7,7 @@
 /** After this time a request counts for 1/e. */
 const shortMemoryMs = 1200
 /** Long enough for some requests of every range. */
-const longMemoryMs = 5000
+export const longMemoryMs = 5000
 /** Requests a second from which on a key is told by its short memory; some ten requests in that memory. */
 const hotRatePerSecond = 8
 
