--- a/packages/standins/src/gateway-cluster.ts
+++ b/packages/standins/src/gateway-cluster.ts
@@ -21,6 +21,8 @@
 const daemonPath = fileURLToPath(import.meta.resolve('@pimentotally/gateway/main'))
 const heartbeatMs = 300
 const conditionTimeoutMs = 30_000
+/** Lines of a process that an error quotes. */
+const describedLines = 12
 
 const freePorts = async (count: number): Promise<number[]> => {
   const servers = Array.from({ length: count }, () => createServer())
@@ -198,11 +200,22 @@
   async until(condition: () => boolean | Promise<boolean>): Promise<void> {
     const endMs = performance.now() + conditionTimeoutMs
     while (!(await condition())) {
-      if (performance.now() > endMs) throw new Error('cluster.until: the condition did not hold in time')
+      if (performance.now() > endMs) {
+        throw new Error(`cluster.until: the condition did not hold in time\n${this.#describe()}`)
+      }
       await new Promise((resolve) => setTimeout(resolve, 50))
     }
   }
 
+  /** What the processes wrote last, to tell why a condition did not hold. */
+  #describe(): string {
+    return this.hosts
+      .map(({ options, isRunning, lines }) =>
+        [`${options.name}: ${isRunning ? 'running' : 'ended'}`, ...lines.slice(-describedLines)].join('\n  '),
+      )
+      .join('\n')
+  }
+
   async stop(): Promise<void> {
     clearInterval(this.#beat)
     for (const host of this.hosts) {
