--- a/packages/gateway/src/feed-sources.ts
+++ b/packages/gateway/src/feed-sources.ts
@@ -29,14 +29,11 @@
   if (own === undefined) return leaderAddress === undefined ? [] : [leaderAddress]
   if (own.peerAddress === leaderAddress) return []
   const inDomain = [...hosts].filter(([, host]) => host.domain === domain).sort(comesFirst)
-  const isLeaderHere = inDomain.some(([, { peerAddress }]) => peerAddress === leaderAddress)
   const rank = inDomain.findIndex(([name]) => name === hostName)
   const before = inDomain.slice(0, Math.min(rank, sourcesInDomain)).map(([, { peerAddress }]) => peerAddress)
   if (leaderAddress === undefined) return before
-  const rest = before.filter((address) => address !== leaderAddress)
-  // The leader serves its own domain and the first hosts of the others.
-  return isLeaderHere || rank < sourcesInDomain ? mergeLeader(isLeaderHere, leaderAddress, rest) : rest
+  const others = before.filter((address) => address !== leaderAddress)
+  if (inDomain.some(([, { peerAddress }]) => peerAddress === leaderAddress)) return [leaderAddress, ...others]
+  // From another domain, only the first hosts ask the leader.
+  return rank < sourcesInDomain ? [...others, leaderAddress] : others
 }
-
-const mergeLeader = (isLeaderHere: boolean, leader: string, rest: readonly string[]): string[] =>
-  isLeaderHere ? [leader, ...rest] : [...rest, leader]
--- a/packages/gateway/src/target-table.ts
+++ b/packages/gateway/src/target-table.ts
@@ -156,7 +156,7 @@
   isFull(id: string): boolean {
     const { fullUntilMs, load } = this.of(id)
     const nowMs = this.#options.clock.monotonicMs()
-    return nowMs < fullUntilMs || load.reportedQueue(nowMs)
+    return nowMs < fullUntilMs || load.hasReportedQueue(nowMs)
   }
 
   /** Whether bytes that nobody asked for have come from the target of late. */
--- a/packages/routing/src/load.ts
+++ b/packages/routing/src/load.ts
@@ -134,7 +134,7 @@
   }
 
   /** Whether requests waited at the target when it last reported, a moment ago. */
-  reportedQueue(nowMs: number): boolean {
+  hasReportedQueue(nowMs: number): boolean {
     return (this.#report?.waiting ?? 0) > 0 && nowMs - this.#reportedAtMs < occupancyMemoryMs
   }
 
