Tell the next leader of long grants when a lease is given up

A leader whose renewals take 0.6 s extends its grants to the longest hold, keeps its lease, is stopped and gives the lease up. Its successor took all grants for normal ones and moved keys of owners that did not answer a release while these still held them.

Ruled out: blocks of keys as the cause, as the test below shows the fault with one service and no late writes.

Change: a lease that is given up says whether grants of the longest hold may last, also those of a predecessor whose lease lapsed; the successor then waits for them, as after a lapsed lease.

Test that failed before: 'keys of a silent owner stay with it when a leader extended its grants and then gave the lease up'.

--- a/packages/assignment/src/assignment.test.ts
+++ b/packages/assignment/src/assignment.test.ts
@@ -240,6 +240,7 @@
     term: 1,
     renewal: 1,
     released: false,
+    hasLongGrants: false,
   }
   const held = new HeldLease(times, { monotonicMs: 0, wallMs: 1_000_000 })
   const observed = new ObservedLease(times, 0)
@@ -260,6 +261,7 @@
     term: 1,
     renewal: 7,
     released: false,
+    hasLongGrants: false,
   }
   observed.observe(record, 0)
   observed.observe({ ...record }, 900)
--- a/packages/assignment/src/election.ts
+++ b/packages/assignment/src/election.ts
@@ -14,6 +14,8 @@
   readonly renewal: number
   /** The leader has given its lease up and sends no more grants. */
   readonly released: boolean
+  /** Grants of this leader or one before it may still last for the longest hold. */
+  readonly hasLongGrants: boolean
 }
 
 export interface LeaseTimes {
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -135,6 +135,7 @@
       processId: this.#processId,
       peerAddress: this.#peerAddress,
       turn: random.float(),
+      maxHoldMs: bounds.maxHoldMs,
       isLarge: () => [...directory.hosts.values()].every(({ capacity }) => capacity <= settings.capacity),
     })
     this.#keys = new KeyControl({
--- a/packages/gateway/src/key-control.ts
+++ b/packages/gateway/src/key-control.ts
@@ -108,6 +108,9 @@
         tenure,
         workMs: () => workMs(service),
         remainingMs: () => leadership.remainingMs(),
+        extending: () => {
+          leadership.noteLongGrants()
+        },
       })
       this.#keepers.set(service, keeper)
     }
--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -6,6 +6,7 @@
 import {
   HeldLease,
   ObservedLease,
+  lapseMs,
   type ClockReading,
   type LeaderRecord,
   type LeaseTimes,
@@ -14,6 +15,7 @@
 import type { RowStore } from '@pimentotally/storage'
 import type { Directory } from './directory.js'
 import { encodeLeader, ownKeys } from './own-rows.js'
+import { grantTimeoutMs } from './target-grants.js'
 
 /** Short enough that a lost leader is replaced before grants lapse; see `grantHoldMs`. */
 export const leaseTimes: LeaseTimes = { leaseMs: 2000, marginMs: 250 }
@@ -44,6 +46,8 @@
   readonly peerAddress: string
   /** Offset among the hosts that wait for the same lease, from 0 to 1. */
   readonly turn: number
+  /** Longest hold that targets accept. */
+  readonly maxHoldMs: number
   /** Whether the host has the processor time of the largest one; the others leave the lease to it for a moment. */
   readonly isLarge: () => boolean
 }
@@ -51,11 +55,17 @@
 /** What the predecessor leaves open, for whoever moves keys next. */
 export interface Tenure {
   readonly term: number
-  /** The predecessor gave its lease up, so that its last grants are bounded by its normal hold. */
+  /** `released`: it gave its lease up, and its last grants are bounded by their normal hold. */
   readonly predecessor: 'none' | 'released' | 'lapsed'
   readonly startedAtMs: number
 }
 
+/** Only a predecessor that gave its lease up, with no long grants left, is known to have sent just normal ones. */
+const predecessorOf = (record: LeaderRecord | undefined): Tenure['predecessor'] => {
+  if (record === undefined) return 'none'
+  return record.released && !record.hasLongGrants ? 'released' : 'lapsed'
+}
+
 export class Leadership {
   readonly #options: LeadershipOptions
   readonly #observed: ObservedLease
@@ -68,6 +78,7 @@
   #abstainUntilMs = 0
   #stopped = false
   #releaseRequested: string | undefined
+  #longGrantsLapseAtMs = -Infinity
 
   constructor(options: LeadershipOptions) {
     this.#options = options
@@ -94,6 +105,14 @@
     }
   }
 
+  /** Grants of the longest hold were sent now, or may have been by a predecessor. */
+  noteLongGrants(): void {
+    this.#longGrantsLapseAtMs = lapseMs(
+      this.#options.clock.monotonicMs() + grantTimeoutMs,
+      this.#options.maxHoldMs,
+    )
+  }
+
   /** Asks to give the lease up soon, so that another host takes over. */
   requestRelease(reason: string): void {
     this.#releaseRequested = reason
@@ -120,12 +139,14 @@
       term: (seen?.record.term ?? 0) + 1,
       renewal: 1,
       released: false,
+      hasLongGrants: false,
     }
     const sentAt = this.#reading()
     if (!(await this.#write(record, seen?.version ?? 0))) return
     this.#lease = new HeldLease(leaseTimes, sentAt)
     this.#lastRenewalMs = sentAt.monotonicMs
-    const predecessor = seen === undefined ? 'none' : seen.record.released ? 'released' : 'lapsed'
+    const predecessor = predecessorOf(seen?.record)
+    if (predecessor === 'lapsed') this.noteLongGrants()
     this.#tenure = {
       term: record.term,
       predecessor,
@@ -167,7 +188,10 @@
     this.#lose(reason)
     this.#abstainUntilMs = this.#options.clock.monotonicMs() + abstainMs
     this.#releaseRequested = undefined
-    if (record !== undefined) await this.#write({ ...record, released: true }, this.#rowVersion)
+    if (record === undefined) return
+    // The successor must not take these for grants of the normal hold.
+    const hasLongGrants = this.#options.clock.monotonicMs() < this.#longGrantsLapseAtMs
+    await this.#write({ ...record, released: true, hasLongGrants }, this.#rowVersion)
   }
 
   #lose(reason: string, successor?: string): void {
--- a/packages/gateway/src/own-rows.ts
+++ b/packages/gateway/src/own-rows.ts
@@ -48,7 +48,8 @@
       typeof record.leader === 'string' &&
       typeof record.peerAddress === 'string' &&
       Number.isInteger(record.term) &&
-      Number.isInteger(record.renewal)
+      Number.isInteger(record.renewal) &&
+      typeof record.hasLongGrants === 'boolean'
     return valid ? record : undefined
   } catch {
     return undefined
--- a/packages/gateway/src/ownership.test.ts
+++ b/packages/gateway/src/ownership.test.ts
@@ -97,6 +97,28 @@
   assert.ok(target.holds.every(({ fence }) => fence > before))
 })
 
+test('keys of a silent owner stay with it when a leader extended its grants and then gave the lease up', async () => {
+  const world = await settle(12)
+  const [target] = world.targets
+  const leader = world.leader()
+  assert.ok(target && leader)
+  const longestHoldMs = (): number =>
+    Math.max(...target.holds.map(({ untilMs }) => untilMs)) - world.time.nowMs()
+  // The store falls silent until the lease is about to end, and is back before it has.
+  world.store.isSilent = true
+  for (let ms = 0; ms < 2000 && longestHoldMs() < 6000; ms += 25) await world.advance(25)
+  assert.ok(longestHoldMs() > 6000, 'the grants are extended')
+  target.isSilent = true
+  world.store.isSilent = false
+  await world.advance(100)
+  leader.control.stop()
+  void leader.leadership.stop()
+  await world.advance(100)
+  leader.kill()
+  await world.advance(14_000)
+  assertOwned(world)
+})
+
 test('the keys of a draining target move before it ends', async () => {
   const world = await settle(6)
   const [target] = world.targets
--- a/packages/gateway/src/peer-reports.test.ts
+++ b/packages/gateway/src/peer-reports.test.ts
@@ -22,7 +22,14 @@
   const clock = time.clock()
   const logger = new SilentLogger()
   const directory = new Directory({ clock, logger })
-  const record = { leader: 'h', peerAddress: '127.0.0.1:1', term: 1, renewal: 1, released: false }
+  const record = {
+    leader: 'h',
+    peerAddress: '127.0.0.1:1',
+    term: 1,
+    renewal: 1,
+    released: false,
+    hasLongGrants: false,
+  }
   directory.applyOwnRow({ key: ownKeys.leader, version: 1, value: encodeLeader(record) })
   directory.applyOperator({ changed: [configurationRow()], removed: [], version: 1 })
   const entries = ['t', 'u'].map((id, index) => targetRow({ id, address: `10.0.0.${String(index + 1)}:80` }))
--- a/packages/gateway/src/target-grants.ts
+++ b/packages/gateway/src/target-grants.ts
@@ -20,7 +20,7 @@
 /** Several renewals fit into a hold. */
 const renewEveryMs = 900
 /** Below the interval of renewals. */
-const grantTimeoutMs = 800
+export const grantTimeoutMs = 800
 /** A probe may wait for a slot of a busy target. */
 const probeTimeoutMs = 500
 /** With less of the lease left, grants are extended, as the store may stay away. */
@@ -39,6 +39,8 @@
   readonly maxHoldMs: number
   /** Time for which this host may still send grants. */
   readonly remainingMs: () => number
+  /** Called before grants of the longest hold are sent. */
+  readonly extending: () => void
 }
 
 export class TargetGrants {
@@ -103,6 +105,7 @@
     const extend = remainingMs() < extendBelowMs
     const extendNow = extend && !this.#extended
     this.#extended = extend
+    if (extend) this.#options.extending()
     for (const [target, ranges] of owned) {
       if (this.#busy.has(target.id)) continue
       const dueAtMs = (this.#renewedAtMs.get(target.id) ?? -renewEveryMs) + renewEveryMs
--- a/packages/gateway/src/testing-world.ts
+++ b/packages/gateway/src/testing-world.ts
@@ -229,6 +229,7 @@
       processId: name,
       peerAddress: `${name}:1`,
       turn: world.random.float(),
+      maxHoldMs,
       isLarge: () => true,
     })
     this.control = new KeyControl({
