Take only a later process at an owner's address for proof of its end

Cause: Directory.isCertainlyGone took any other id last seen at the address for proof that the owner had ended.

Change: a process has ended when a process of another id started later at its address and was first seen after it; an unknown start proves nothing. A target that is still in the register is asked to release its keys, as its new life may have taken a renewal already. The assertion that a later start under the same id proves an end is replaced by the release, which such a target answers.

--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -41,6 +41,12 @@
   readonly revision: number
 }
 
+/** One run of a target's process. */
+interface ProcessLife {
+  readonly id: string
+  readonly startedAtEpochMs: number
+}
+
 interface StoredBlocks {
   readonly blocks: (AssignmentBlock | undefined)[]
   readonly versions: number[]
@@ -59,6 +65,8 @@
 const reappearanceMs = 2000
 /** A gap between two reads from which on entries may have lapsed because of the store. */
 const outageGapMs = 1800
+/** More processes than can follow each other at one address while a grant lasts. */
+const livesPerAddress = 8
 /** Share of the expected heartbeats from which on the store was there, and only this host was cut off from it. */
 const presentShare = 0.7
 
@@ -67,7 +75,8 @@
   #routes: RouteTable | undefined
   readonly #targets = new Map<string, KnownTarget>()
   readonly #byService = new Map<string, KnownTarget[]>()
-  readonly #idByAddress = new Map<string, string>()
+  /** Processes that were seen at each address, in the order of their first entry. */
+  readonly #livesByAddress = new Map<string, ProcessLife[]>()
   /** Domains that are taken out, with the time since when. */
   readonly #evacuated = new Map<string, number>()
   readonly #assignments = new Map<string, StoredBlocks>()
@@ -144,18 +153,17 @@
     return sinceMs === undefined ? 0 : this.#options.clock.monotonicMs() - sinceMs
   }
 
-  /** Whether another process runs at the address that the target had, or the target started anew. */
-  isCertainlyGone(id: string, address: string | undefined, startedAtEpochMs: number | undefined): boolean {
-    const current = this.#targets.get(id)
-    if (current !== undefined) {
-      return (
-        startedAtEpochMs !== undefined &&
-        current.startedAtEpochMs !== undefined &&
-        current.startedAtEpochMs > startedAtEpochMs
-      )
-    }
-    const successor = address === undefined ? undefined : this.#idByAddress.get(address)
-    return successor !== undefined && successor !== id
+  /**
+   * Whether the process has certainly ended: a process of another id started at its address after it. Both starts and
+   * the order in which the entries were first seen have to say so, because a late write may bring the entry of an earlier
+   * process back, and clocks that name a start may be set. An unknown start proves nothing.
+   */
+  isCertainlyGone(id: string, address: string, startedAtEpochMs: number | undefined): boolean {
+    if (startedAtEpochMs === undefined) return false
+    const lives = this.#livesByAddress.get(address) ?? []
+    const own = lives.findIndex((life) => life.id === id && life.startedAtEpochMs === startedAtEpochMs)
+    if (own < 0) return false
+    return lives.slice(own + 1).some((life) => life.id !== id && life.startedAtEpochMs > startedAtEpochMs)
   }
 
   assignment(service: string): KnownAssignment | undefined {
@@ -325,6 +333,7 @@
     const stateSinceMs =
       known !== undefined && known.state === target.state && !restarted ? known.stateSinceMs : nowMs
     this.#targets.set(target.id, { ...target, stateSinceMs, coldUntilMs, missingSinceMs: undefined })
+    this.#recordLife(target)
     if (
       known === undefined ||
       known.state !== target.state ||
@@ -344,6 +353,15 @@
     }
   }
 
+  #recordLife({ id, address, startedAtEpochMs }: Target): void {
+    if (startedAtEpochMs === undefined) return
+    const lives = this.#livesByAddress.get(address) ?? []
+    if (lives.some((life) => life.id === id && life.startedAtEpochMs === startedAtEpochMs)) return
+    lives.push({ id, startedAtEpochMs })
+    if (lives.length > livesPerAddress) lives.shift()
+    this.#livesByAddress.set(address, lives)
+  }
+
   #vanish(id: string, nowMs: number): void {
     const target = this.#targets.get(id)
     if (target === undefined) return
@@ -367,10 +385,6 @@
       const targets = this.#byService.get(target.service) ?? []
       targets.push(target)
       this.#byService.set(target.service, targets)
-      const other = this.#targets.get(this.#idByAddress.get(target.address) ?? '')
-      if (other === undefined || (other.startedAtEpochMs ?? 0) <= (target.startedAtEpochMs ?? 0)) {
-        this.#idByAddress.set(target.address, target.id)
-      }
     }
   }
 
--- a/packages/gateway/src/former-owners.ts
+++ b/packages/gateway/src/former-owners.ts
@@ -53,13 +53,18 @@
     return this.#find(id)?.address
   }
 
-  /** Whether the target cannot hold any of the service's keys. */
+  /**
+   * Whether the target cannot hold any of the service's keys. One that is in the register may have taken a grant in a new
+   * life already; it answers a release.
+   */
   holdsNothing(id: string): boolean {
     const { directory, clock, grants } = this.#options
+    if (clock.monotonicMs() >= grants.lapsesAtMs(id)) return true
     const seen = this.#find(id)
     return (
-      directory.isCertainlyGone(id, seen?.address, seen?.startedAtEpochMs) ||
-      clock.monotonicMs() >= grants.lapsesAtMs(id)
+      seen !== undefined &&
+      directory.target(id) === undefined &&
+      directory.isCertainlyGone(id, seen.address, seen.startedAtEpochMs)
     )
   }
 
