--- a/packages/gateway/src/caller-answer.ts
+++ b/packages/gateway/src/caller-answer.ts
@@ -1,5 +1,6 @@
 /** Gives a caller its answer: a target's, whole or while it arrives, or one of the router's own. */
 import type { ServerResponse } from 'node:http'
+import type { Clock } from '@pimentotally/core'
 import { endToEnd } from '@pimentotally/http'
 import { generatedHeaders } from '@pimentotally/platform'
 import type { TargetResponse } from './target-exchange.js'
@@ -14,39 +15,66 @@
   response.writeHead(status, headers).end(whole)
 }
 
-/** Passes on the rest of a large answer while it arrives; `cut` is called when the target breaks off. */
+export interface PassOnOptions {
+  readonly clock: Clock
+  /** Time after which nobody waits for the rest of an answer any more; a broken target may send bytes without end. */
+  readonly longestMs: number
+  /** Called when the target breaks off, or its answer does not end in time. */
+  readonly cut: (reason: 'broken_off' | 'too_long') => void
+}
+
+/** Passes on the rest of a large answer while it arrives. */
 const stream = (
   response: ServerResponse,
-  { status, incoming, body }: TargetResponse,
-  cut: () => void,
+  { status, incoming, body, endsCleanly }: TargetResponse,
+  { clock, longestMs, cut }: PassOnOptions,
 ): void => {
   response.writeHead(status, endToEnd(incoming, { dropContentLength: false }))
   for (const chunk of body) response.write(chunk)
   let ended = false
+  const finish = (): boolean => {
+    if (ended) return false
+    ended = true
+    cancel()
+    return true
+  }
+  const cutOff = (reason: 'broken_off' | 'too_long'): void => {
+    if (!finish()) return
+    cut(reason)
+    response.destroy()
+  }
+  const cancel = clock.schedule(longestMs, () => {
+    cutOff('too_long')
+  })
+  const brokenOff = (): void => {
+    cutOff('broken_off')
+  }
   incoming.on('data', (chunk: Buffer) => {
     if (!response.write(chunk)) incoming.pause()
   })
   response.on('drain', () => incoming.resume())
   incoming.once('end', () => {
-    ended = true
-    if (incoming.complete) response.end()
-    else response.destroy()
+    incoming.off('close', brokenOff)
+    if (!incoming.complete) brokenOff()
+    else {
+      endsCleanly.then((isClean) => {
+        if (!isClean) brokenOff()
+        else if (finish()) response.end()
+      }, brokenOff)
+    }
+  })
+  incoming.once('aborted', brokenOff).once('close', brokenOff)
+  response.once('close', () => {
+    finish()
+    incoming.destroy()
   })
-  const broken = (): void => {
-    if (ended) return
-    ended = true
-    cut()
-    response.destroy()
-  }
-  incoming.once('aborted', broken).once('close', broken)
-  response.once('close', () => incoming.destroy())
   incoming.resume()
 }
 
 /** A target's answer, unchanged; one that breaks off does not look complete. */
-export const passOn = (response: ServerResponse, answer: TargetResponse, cut: () => void): void => {
+export const passOn = (response: ServerResponse, answer: TargetResponse, options: PassOnOptions): void => {
   if (answer.complete) sendWhole(response, answer)
-  else stream(response, answer, cut)
+  else stream(response, answer, options)
 }
 
 /** These statuses promise that the request has not run. */
--- a/packages/gateway/src/change-log.ts
+++ b/packages/gateway/src/change-log.ts
@@ -10,10 +10,13 @@
 export interface ChangeLogOptions {
   /** Whether a row differs from its predecessor in anything that other hosts need. */
   readonly isRelevant?: (row: StoredRow, previous: StoredRow | undefined) => boolean
+  /** Whether other hosts need a relevant change at once; otherwise they get it with the next confirmation. */
+  readonly isUrgent?: (row: StoredRow, previous: StoredRow | undefined) => boolean
 }
 
 export class ChangeLog {
   readonly #isRelevant: NonNullable<ChangeLogOptions['isRelevant']>
+  readonly #isUrgent: NonNullable<ChangeLogOptions['isUrgent']>
   readonly #latest = new Map<string, StoredRow>()
   readonly #waiters = new Set<() => void>()
   readonly #confirmationWaiters = new Set<() => void>()
@@ -21,9 +24,11 @@
   /** Changes up to this version are not known. */
   #floor: number | undefined
   #version = 0
+  #urgentVersion = 0
 
-  constructor({ isRelevant = () => true }: ChangeLogOptions = {}) {
+  constructor({ isRelevant = () => true, isUrgent = () => true }: ChangeLogOptions = {}) {
     this.#isRelevant = isRelevant
+    this.#isUrgent = isUrgent
   }
 
   get version(): number {
@@ -33,24 +38,33 @@
   record({ changed, removed, version }: ReplicaChange): void {
     this.#floor ??= version
     this.#version = version
-    const relevant: Change[] = changed.filter((row) => this.#isRelevant(row, this.#latest.get(row.key)))
-    for (const row of changed) this.#latest.set(row.key, row)
+    const relevant: Change[] = []
+    let isUrgent = removed.length > 0
+    for (const row of changed) {
+      const previous = this.#latest.get(row.key)
+      this.#latest.set(row.key, row)
+      if (!this.#isRelevant(row, previous)) continue
+      relevant.push(row)
+      isUrgent ||= this.#isUrgent(row, previous)
+    }
     for (const key of removed) {
       this.#latest.delete(key)
       relevant.push({ key, version, deleted: true })
     }
+    if (isUrgent) this.#urgentVersion = version
     // A table that was read whole comes in the order of its keys.
     relevant.sort((a, b) => a.version - b.version)
-    if (relevant.length === 0) {
-      for (const waiter of [...this.#confirmationWaiters]) waiter()
-      return
-    }
     this.#changes.push(...relevant)
     if (this.#changes.length > maxChanges) {
       const dropped = this.#changes.splice(0, this.#changes.length - maxChanges)
       this.#floor = Math.max(this.#floor, ...dropped.map((change) => change.version))
     }
-    for (const waiter of [...this.#waiters]) waiter()
+    for (const waiter of [...(isUrgent ? this.#waiters : this.#confirmationWaiters)]) waiter()
+  }
+
+  /** Whether a host with that version lacks a change that it needs at once. */
+  hasUrgentSince(after: number): boolean {
+    return this.#floor === undefined || after < this.#floor || this.#urgentVersion > after
   }
 
   /** The last change of each row; undefined when changes since that version may have been forgotten. */
@@ -70,13 +84,13 @@
     return [...this.#latest.values()]
   }
 
-  /** Calls back whenever the copy was confirmed without a relevant change; returns how to stop waiting. */
+  /** Calls back when the copy is confirmed next without an urgent change; returns how to stop waiting. */
   onConfirmed(callback: () => void): () => void {
     this.#confirmationWaiters.add(callback)
     return () => this.#confirmationWaiters.delete(callback)
   }
 
-  /** Calls back at the next relevant change; returns how to stop waiting. */
+  /** Calls back at the next urgent change; returns how to stop waiting. */
   onChange(callback: () => void): () => void {
     const waiter = (): void => {
       this.#waiters.delete(waiter)
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -20,9 +20,9 @@
 import { PeerReports, reportPath } from './peer-reports.js'
 import { Leadership } from './leadership.js'
 import { GatewayMetrics } from './metrics.js'
-import { encodeHost, ownKeys } from './own-rows.js'
-import { PeerServer, type PeerAnswer, type PeerHandler } from './peer-server.js'
-import { RelayedStore, answerRelay, relayPath, type RelayedTable } from './relay.js'
+import { encodeHost, isRenewalOnly, ownKeys } from './own-rows.js'
+import { PeerServer, type PeerHandler } from './peer-server.js'
+import { Relay, RelayedStore, relayPath, type RelayedTable } from './relay.js'
 import { Replica, type ReplicaChange } from './replica.js'
 import { StatusServer } from './status-server.js'
 import { TargetTable } from './target-table.js'
@@ -149,61 +149,76 @@
       maxHoldMs: bounds.maxHoldMs,
       workMs: (service) => this.#dispatcher.serviceWorkMs(service),
       occupancy: (target) => this.#reports.targetOccupancy(target),
+      stored: () => {
+        relayedStore.expedite(storeTables.own)
+      },
     })
     const feedWaitMs = Math.floor(feedWaitShare * Math.min(bounds.configurationMs, bounds.evacuationMs))
-    const registerIntervalMs = bounds.drainMs * registerIntervalShare
+    const confirmedEveryMs = Math.min(feedWaitMs, bounds.drainMs * registerIntervalShare)
     const relayedStore = new RelayedStore({
       store: this.#store,
       clock,
       logger,
       sources: () => this.#sources(),
-      confirmedEveryMs: Math.max(feedWaitMs, registerIntervalMs),
-      pollIntervalMs: { [storeTables.register]: registerIntervalMs },
+      confirmedEveryMs,
+      // Targets write heartbeats all the time, and a leader renews its lease.
+      mayWait: (table) =>
+        table === storeTables.operator || (table === storeTables.own && !this.#leadership.isLed),
     })
-    const follow = (table: string, log: ChangeLog, apply: (change: ReplicaChange) => void): RelayedTable => ({
+    /** `apply` returns the keys of rows that other hosts must not take either. */
+    const follow = (
+      table: string,
+      log: ChangeLog,
+      apply: (change: ReplicaChange) => readonly string[],
+    ): RelayedTable => ({
       log,
-      maxAgeMs: Math.max(feedWaitMs, registerIntervalMs) + maxRelayDelayMs,
+      maxAgeMs: confirmedEveryMs + maxRelayDelayMs,
       replica: new Replica({
         store: relayedStore,
         table,
         clock,
         logger,
-        waitMs: feedWaitMs,
+        waitMs: confirmedEveryMs,
         listener: {
           confirmed: (change) => {
-            apply(change)
-            log.record(change)
+            const ignored = apply(change)
+            log.record({ ...change, changed: change.changed.filter(({ key }) => !ignored.includes(key)) })
           },
         },
       }),
     })
     const register = new ChangeLog({ isRelevant: (row, previous) => differsForOthers(row, previous) })
+    const own = new ChangeLog({ isUrgent: (row, previous) => !isRenewalOnly(row, previous) })
     this.#tables = new Map([
       [
         storeTables.operator,
         follow(storeTables.operator, new ChangeLog(), (change) => {
           directory.applyOperator(change)
           this.#applyLimits()
+          return []
         }),
       ],
       [
         storeTables.register,
         follow(storeTables.register, register, (change) => {
-          directory.applyRegister(change)
+          const outdated = directory.applyRegister(change)
           this.#targets.retain()
+          return outdated
         }),
       ],
       [
         storeTables.own,
-        follow(storeTables.own, new ChangeLog(), (change) => {
+        follow(storeTables.own, own, (change) => {
           directory.applyOwn(change)
+          return []
         }),
       ],
     ])
+    const relay = new Relay(this.#tables, clock)
     this.#peers = new PeerServer(
       new Map<string, PeerHandler>([
         [`POST ${reportPath}`, (_query, body) => this.#reports.receive(body)],
-        [`GET ${relayPath}`, (query) => this.#relay(query)],
+        [`GET ${relayPath}`, (query) => relay.answer(query)],
       ]),
       logger,
     )
@@ -277,11 +292,6 @@
     return feedSources({ hostName, domain, hosts, leaderAddress })
   }
 
-  #relay(query: URLSearchParams): PeerAnswer | Promise<PeerAnswer> {
-    const table = this.#tables.get(query.get('table') ?? '')
-    return table === undefined ? { status: 404 } : answerRelay(table, query, this.#clock)
-  }
-
   #applyLimits(): void {
     const configuration = this.#directory.routes?.configuration
     if (configuration === undefined || configuration.version === this.#limitsVersion) return
--- a/packages/gateway/src/directory.test.ts
+++ b/packages/gateway/src/directory.test.ts
@@ -196,3 +196,22 @@
   directory.applyRegister({ changed: [life('earlier', 9000, 4)], removed: ['a'], version: 4 })
   assert.equal(directory.isCertainlyGone('a', address, 5000), false)
 })
+
+test('a heartbeat that a late write brings back after a newer one changes nothing', () => {
+  const { directory } = start()
+  const beat = (sequence: number, rowVersion: number, state = 'ready', startedAtEpochMs = 1000) =>
+    targetRow({ id: 'a', address, sequence, rowVersion, state, startedAtEpochMs })
+  directory.applyRegister({ changed: [beat(5, 2)], removed: [], version: 2 })
+  directory.applyRegister({ changed: [beat(9, 3, 'draining')], removed: [], version: 3 })
+  assert.deepEqual(directory.applyRegister({ changed: [beat(8, 4)], removed: [], version: 4 }), ['a'])
+  assert.equal(directory.target('a')?.state, 'draining')
+  directory.applyRegister({ changed: [], removed: ['a'], version: 5 })
+  assert.deepEqual(directory.applyRegister({ changed: [beat(7, 6)], removed: [], version: 6 }), ['a'])
+  assert.equal(directory.target('a'), undefined, 'a target that left is not in use again')
+  // A new process counts anew.
+  assert.deepEqual(
+    directory.applyRegister({ changed: [beat(1, 7, 'ready', 2000)], removed: [], version: 7 }),
+    [],
+  )
+  assert.equal(directory.target('a')?.state, 'ready')
+})
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -67,6 +67,8 @@
 const outageGapMs = 1800
 /** More processes than can follow each other at one address while a grant lasts. */
 const livesPerAddress = 8
+/** Several times the targets of the largest deployment. */
+const maxLatestBeats = 20_000
 /** Share of the expected heartbeats from which on the store was there, and only this host was cut off from it. */
 const presentShare = 0.7
 
@@ -74,6 +76,8 @@
   readonly #options: DirectoryOptions
   #routes: RouteTable | undefined
   readonly #targets = new Map<string, KnownTarget>()
+  /** The latest heartbeat of each target, also of those that have left. */
+  readonly #latestBeats = new Map<string, { readonly startedAtEpochMs: number; readonly sequence: number }>()
   readonly #byService = new Map<string, KnownTarget[]>()
   /** Processes that were seen at each address, in the order of their first entry. */
   readonly #livesByAddress = new Map<string, ProcessLife[]>()
@@ -218,8 +222,8 @@
     }
   }
 
-  /** Rows of the targets' table. */
-  applyRegister({ changed, removed, version }: ReplicaChange): void {
+  /** Rows of the targets' table; returns the keys of rows that were ignored, as newer ones of the same process are known. */
+  applyRegister({ changed, removed, version }: ReplicaChange): string[] {
     const nowMs = this.#options.clock.monotonicMs()
     const gapMs = this.#registerReadAtMs === undefined ? 0 : nowMs - this.#registerReadAtMs
     if (gapMs > outageGapMs && !this.#wasStorePresent(gapMs, version)) {
@@ -227,12 +231,13 @@
     }
     this.#registerReadAtMs = nowMs
     this.#registerVersion = version
-    for (const row of changed) this.#applyEntry(row, nowMs)
+    const outdated = changed.filter((row) => !this.#applyEntry(row, nowMs)).map(({ key }) => key)
     for (const id of removed) this.#vanish(id, nowMs)
     for (const target of this.#targets.values()) {
       if (target.missingSinceMs !== undefined && nowMs >= this.#graceUntilMs) this.#remove(target, 'not_back')
     }
     if (changed.length + removed.length > 0) this.#index()
+    return outdated
   }
 
   /**
@@ -319,13 +324,22 @@
     return this.#routes?.configuration.services.get(service)?.coldStartMs ?? 0
   }
 
-  #applyEntry(row: StoredRow, nowMs: number): void {
+  /** False for a heartbeat that was written late and is older than what is known of the process. */
+  #applyEntry(row: StoredRow, nowMs: number): boolean {
     const { logger } = this.#options
     const target = decodeTarget(row.key, row.value)
     if (target === undefined) {
       this.#malformed(row, 'target')
       this.#vanish(row.key, nowMs)
-      return
+      return true
+    }
+    if (this.#isOutdated(target)) {
+      logger.info('target.outdated', {
+        target: target.id,
+        sequence: target.sequence,
+        rowVersion: row.version,
+      })
+      return false
     }
     const known = this.#targets.get(target.id)
     const restarted = known?.startedAtEpochMs !== target.startedAtEpochMs
@@ -351,6 +365,21 @@
         rowVersion: row.version,
       })
     }
+    return true
+  }
+
+  #isOutdated({ id, startedAtEpochMs, sequence }: Target): boolean {
+    if (startedAtEpochMs === undefined) return false
+    const latest = this.#latestBeats.get(id)
+    if (latest?.startedAtEpochMs === startedAtEpochMs && sequence < latest.sequence) return true
+    // Deleted first, so that the order of the map is that of the latest heartbeats.
+    this.#latestBeats.delete(id)
+    this.#latestBeats.set(id, { startedAtEpochMs, sequence })
+    if (this.#latestBeats.size > maxLatestBeats) {
+      const [oldest] = this.#latestBeats.keys()
+      if (oldest !== undefined) this.#latestBeats.delete(oldest)
+    }
+    return false
   }
 
   #recordLife({ id, address, startedAtEpochMs }: Target): void {
--- a/packages/gateway/src/dispatcher.test.ts
+++ b/packages/gateway/src/dispatcher.test.ts
@@ -1,207 +1,26 @@
 /** What callers and targets see of one request, over real sockets. */
 import assert from 'node:assert/strict'
-import {
-  createServer,
-  request as httpRequest,
-  type ClientRequest,
-  type IncomingMessage,
-  type ServerResponse,
-} from 'node:http'
-import type { AddressInfo } from 'node:net'
-import { test, type TestContext } from 'node:test'
+import type { IncomingMessage } from 'node:http'
+import { test } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
-import { Random, SilentLogger, SystemClock } from '@pimentotally/core'
-import { blockCount, encodeBlock, initialAssignment } from '@pimentotally/assignment'
 import {
   answerHeaders,
-  callerHeaders,
-  configurationRow,
   deadlineMsOf,
   requestIdOf,
   signatureOf,
   targetIdOf,
-  targetRow,
-  type CallerFields,
 } from '@pimentotally/platform/testing'
-import { CallerServer } from './caller-server.js'
-import { Directory } from './directory.js'
-import { Dispatcher } from './dispatcher.js'
-import { GatewayMetrics } from './metrics.js'
-import { ownKeys } from './own-rows.js'
 import { maxBufferedBytes } from './target-exchange.js'
-import { TargetTable } from './target-table.js'
-import { freePort } from './testing.js'
-
-type Handler = (request: IncomingMessage, response: ServerResponse) => void
-
-interface TestTarget {
-  readonly id: string
-  readonly address: string
-  /** Request ids in the order of their arrival. */
-  readonly seen: string[]
-}
-
-const answer =
-  (status: number, { notExecuted = false } = {}): Handler =>
-  (request, response) => {
-    response.writeHead(status, answerHeaders(requestIdOf(request), { notExecuted })).end('body')
-  }
-
-const reset: Handler = (request) => {
-  request.socket.resetAndDestroy()
-}
-
-const shed = answer(503, { notExecuted: true })
-
-const startTarget = async (t: TestContext, id: string, handler: Handler): Promise<TestTarget> => {
-  const seen: string[] = []
-  const server = createServer((request, response) => {
-    seen.push(requestIdOf(request))
-    handler(request, response)
-  })
-  t.after(() => {
-    server.close()
-    server.closeAllConnections()
-  })
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
-  return { id, seen, address: `127.0.0.1:${String((server.address() as AddressInfo).port)}` }
-}
-
-interface Answer {
-  readonly status: number
-  readonly headers: IncomingMessage['headers']
-  readonly body: string
-}
-
-interface CallOptions {
-  readonly method?: string
-  readonly fields?: Partial<CallerFields>
-  readonly headers?: Record<string, string>
-  readonly body?: string
-}
-
-class Gateway {
-  readonly directory: Directory
-  readonly #targets: TargetTable
-  readonly #port: number
-  #requests = 0
-  #outgoing: ClientRequest | undefined
-
-  private constructor(directory: Directory, targets: TargetTable, port: number) {
-    this.directory = directory
-    this.#targets = targets
-    this.#port = port
-  }
-
-  static async start(
-    t: TestContext,
-    targets: readonly TestTarget[],
-    { isSharded = false } = {},
-  ): Promise<Gateway> {
-    const clock = new SystemClock()
-    const logger = new SilentLogger()
-    const random = new Random(1)
-    const directory = new Directory({ clock, logger })
-    directory.applyOperator({ changed: [configurationRow({ isSharded })], removed: [], version: 1 })
-    directory.applyRegister({
-      changed: targets.map(({ id, address }) => targetRow({ id, address })),
-      removed: [],
-      version: 2,
-    })
-    const table = new TargetTable({ clock, logger, directory, hostName: 'h' })
-    const dispatcher = new Dispatcher({
-      clock,
-      logger,
-      random,
-      directory,
-      targets: table,
-      metrics: new GatewayMetrics(),
-      domain: 'a',
-      retryBudget: { ratio: 0.2, windowMs: 10_000, slack: 60 },
-      countKey: () => undefined,
-      observeSpeed: () => undefined,
-      admittedShare: () => 1,
-    })
-    const server = new CallerServer({ clock, logger, directory, dispatcher })
-    const port = await freePort()
-    await server.listen(`127.0.0.1:${String(port)}`)
-    t.after(() => server.finish(0))
-    return new Gateway(directory, table, port)
-  }
-
-  /** Assigns all keys to one target. */
-  assign(owner: string, { version, formerOwner }: { version: number; formerOwner?: string }): void {
-    const { ranges } = initialAssignment('notes', [{ id: owner, startedAtEpochMs: 1000, weight: 1 }])
-    const assignment = {
-      service: 'notes',
-      lastFence: version,
-      addresses: {},
-      ranges: ranges.map((range) => ({ ...range, fence: version, formerOwner })),
-    }
-    for (let block = 0; block < blockCount; block += 1) {
-      this.directory.applyOwnRow({
-        key: ownKeys.assignment('notes', block),
-        version,
-        value: Buffer.from(encodeBlock(assignment, block)),
-      })
-    }
-  }
-
-  /** The target's entry vanishes, and what the host keeps of it is forgotten. */
-  remove(id: string): void {
-    this.directory.applyRegister({ changed: [], removed: [id], version: 3 })
-    this.#targets.retain()
-  }
-
-  evacuate(domain: string): void {
-    this.directory.applyOperator({
-      changed: [{ key: `evacuate/${domain}`, version: 4, value: Buffer.from('{}') }],
-      removed: [],
-      version: 4,
-    })
-  }
-
-  connectFailures(id: string): number {
-    return this.#targets.of(id).connectFailures
-  }
-
-  /** The caller of the last request closes its connection. */
-  hangUp(): void {
-    this.#outgoing?.destroy()
-  }
-
-  call(path: string, { method = 'GET', fields = {}, headers = {}, body }: CallOptions = {}): Promise<Answer> {
-    this.#requests += 1
-    const requestId = `r-${String(this.#requests)}`
-    return new Promise((resolve, reject) => {
-      const outgoing = httpRequest(
-        {
-          host: '127.0.0.1',
-          port: this.#port,
-          path,
-          method,
-          headers: {
-            host: 'shop.example',
-            ...callerHeaders({ requestId, deadlineMs: 3000, ...fields }),
-            ...headers,
-          },
-        },
-        (incoming) => {
-          const chunks: Buffer[] = []
-          incoming.on('data', (chunk: Buffer) => chunks.push(chunk))
-          incoming.on('error', reject)
-          incoming.on('end', () => {
-            const text = Buffer.concat(chunks).toString()
-            resolve({ status: incoming.statusCode ?? 0, headers: incoming.headers, body: text })
-          })
-        },
-      )
-      outgoing.on('error', reject)
-      this.#outgoing = outgoing
-      outgoing.end(body)
-    })
-  }
-}
+import { ownKeys } from './own-rows.js'
+import {
+  Gateway,
+  answer,
+  reset,
+  shed,
+  startTarget,
+  type Handler,
+  type TestTarget,
+} from './testing-gateway.js'
 
 test('status, body and signature of the target are passed on, with what the target needs', async (t) => {
   let seen: IncomingMessage | undefined
--- /dev/null
+++ b/packages/gateway/src/endless-bytes.test.ts
@@ -0,0 +1,137 @@
+/**
+ * Targets that send bytes without end, or more than they should, over real sockets. Guards against memory that grows
+ * with what a broken target sends, requests without an outcome, and answers that reach another caller.
+ */
+import assert from 'node:assert/strict'
+import { createServer, type AddressInfo, type Socket } from 'node:net'
+import { test, type TestContext } from 'node:test'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { TargetAgent } from '@pimentotally/http'
+import { TargetCalls } from '@pimentotally/platform'
+import { answerHeaders, callerHeaders } from '@pimentotally/platform/testing'
+import { TargetExchange, maxBufferedBytes, type ExchangeResult } from './target-exchange.js'
+
+const block = Buffer.alloc(16 * 1024, 'x')
+
+interface Endless {
+  readonly address: string
+  /** Bytes that the target's system has taken; a peer that does not read stops it. */
+  readonly written: () => number
+  readonly closed: Promise<void>
+}
+
+/** Writes `head` and then `piece` until the connection is closed. */
+const endless = async (t: TestContext, head: string, piece: Buffer | string): Promise<Endless> => {
+  const sockets = new Set<Socket>()
+  let written = 0
+  let close = (): void => undefined
+  const closed = new Promise<void>((resolve) => (close = resolve))
+  const server = createServer((socket) => {
+    sockets.add(socket)
+    socket.on('error', () => undefined)
+    socket.once('close', () => {
+      close()
+    })
+    socket.once('data', () => {
+      socket.write(head)
+      const next = (): void => {
+        if (socket.destroyed) return
+        written += piece.length
+        if (socket.write(piece)) setImmediate(next)
+        else socket.once('drain', next)
+      }
+      next()
+    })
+  })
+  t.after(() => {
+    for (const socket of sockets) socket.destroy()
+    server.close()
+  })
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  return {
+    address: `127.0.0.1:${String((server.address() as AddressInfo).port)}`,
+    written: () => written,
+    closed,
+  }
+}
+
+const requestId = 'r-1'
+
+const exchange = (t: TestContext, address: string): Promise<ExchangeResult> => {
+  const agent = new TargetAgent({ connections: 1, idleTimeoutMs: 1000, onClosed: () => undefined })
+  t.after(() => {
+    agent.destroy()
+  })
+  return new Promise((resolve) => {
+    new TargetExchange({
+      agent,
+      address,
+      method: 'GET',
+      path: '/',
+      headers: ['Host', 'h', ...Object.entries(callerHeaders({ requestId })).flat()],
+      body: undefined,
+      requestId,
+      connectTimeoutMs: 5000,
+      mayStart: () => true,
+      settled: resolve,
+    })
+  })
+}
+
+const head = [
+  'HTTP/1.1 200 OK',
+  ...Object.entries(answerHeaders(requestId)).map(([name, value]) => `${name}: ${value}`),
+  '',
+].join('\r\n')
+
+/** Bytes in a head that end the exchange: far more than any head that Node accepts, and what the sockets hold. */
+const headBoundBytes = 8 * 1024 * 1024
+
+const heads: readonly (readonly [name: string, start: string, piece: Buffer | string])[] = [
+  ['a status line', 'HTTP/1.1 200 ', block],
+  ['a header field', `${head}X-Long: `, block],
+  ['header fields', head, 'X-More: 1\r\n'.repeat(1000)],
+  ['answers before the final one', '', 'HTTP/1.1 103 Early Hints\r\n\r\n'.repeat(1000)],
+  ['a chunk size', `${head}Transfer-Encoding: chunked\r\n\r\n`, '0'.repeat(16 * 1024)],
+  ['a chunk extension', `${head}Transfer-Encoding: chunked\r\n\r\n4;`, block],
+  ['trailers', `${head}Transfer-Encoding: chunked\r\n\r\n0\r\n`, 'X-More: 1\r\n'.repeat(1000)],
+]
+
+for (const [name, start, piece] of heads) {
+  test(`${name} without end: the request is lost and the connection closed`, async (t) => {
+    const target = await endless(t, start, piece)
+    const result = await exchange(t, target.address)
+    assert.equal(result.kind, 'lost')
+    await target.closed
+    assert.ok(target.written() < headBoundBytes, String(target.written()))
+  })
+}
+
+test('a body without a length that does not end is passed on while it arrives, not collected', async (t) => {
+  const target = await endless(t, `${head}Connection: close\r\n\r\n`, block)
+  const result = await exchange(t, target.address)
+  assert.ok(result.kind === 'response' && !result.complete)
+  const collected = result.body.reduce((sum, { length }) => sum + length, 0)
+  assert.ok(collected <= maxBufferedBytes * 2, String(collected))
+  // Nobody reads, so the target stops writing when the sockets are full.
+  await sleep(50)
+  const before = target.written()
+  await sleep(50)
+  assert.equal(target.written(), before)
+  result.incoming.destroy()
+  await target.closed
+})
+
+for (const [name, start] of [
+  ['a grant', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffff\r\n'],
+  ['a grant whose body has no length', 'HTTP/1.1 200 OK\r\n\r\n'],
+] as const) {
+  test(`the answer to ${name} does not end: it is given up after a bounded number of bytes`, async (t) => {
+    const target = await endless(t, start, block)
+    const call = { from: 0, to: 1, fence: 1, holdMs: 1000, handover: undefined, timeoutMs: 60_000 }
+    const result = await new TargetCalls().grant({ id: 't', address: target.address }, call)
+    assert.equal(result.isErr && result.error.code, 'lost')
+    await target.closed
+    assert.ok(target.written() < headBoundBytes, String(target.written()))
+  })
+}
--- a/packages/gateway/src/key-control.ts
+++ b/packages/gateway/src/key-control.ts
@@ -29,6 +29,8 @@
   readonly workMs: (service: string) => number
   /** Mean number of requests that run or wait at a target. */
   readonly occupancy: (target: string) => number
+  /** Called when a decision is stored, so that other hosts learn of it. */
+  readonly stored: () => void
 }
 
 export class KeyControl {
--- a/packages/gateway/src/key-keeper.ts
+++ b/packages/gateway/src/key-keeper.ts
@@ -64,6 +64,8 @@
   readonly workMs: () => number
   /** Mean number of requests that run or wait at a target. */
   readonly occupancy: (target: string) => number
+  /** Called when a decision is stored, so that other hosts learn of it. */
+  readonly stored: () => void
 }
 
 /** Share of the targets' capacity that is used; what a target cannot serve does not count. */
@@ -320,6 +322,7 @@
     )
     if (result.isOk) {
       for (const { key, value } of rows) directory.applyOwnRow({ key, value, version: result.value })
+      this.#options.stored()
       return true
     }
     const assignmentVersion = Math.max(...this.#versions)
--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -89,6 +89,11 @@
     return this.remainingMs() > 0 ? this.#tenure : undefined
   }
 
+  /** Whether a host is known to lead just now. */
+  get isLed(): boolean {
+    return this.#lease !== undefined || this.#observed.waitMs(this.#options.clock.monotonicMs()) > 0
+  }
+
   /** Time for which this host may still send grants; 0 when it does not lead. */
   remainingMs(): number {
     return this.#lease === undefined ? 0 : Math.max(0, this.#lease.remainingMs(this.#reading()))
--- a/packages/gateway/src/own-rows.ts
+++ b/packages/gateway/src/own-rows.ts
@@ -1,5 +1,6 @@
 /** Rows of this project's own table in the store. */
 import type { LeaderRecord } from '@pimentotally/assignment'
+import type { StoredRow } from '@pimentotally/storage'
 
 const hostPrefix = 'host/'
 const assignmentPrefix = 'assignment/'
@@ -55,3 +56,16 @@
     return undefined
   }
 }
+
+/** Whether a row says only that the same leader still leads. */
+export const isRenewalOnly = (row: StoredRow, previous: StoredRow | undefined): boolean => {
+  if (row.key !== ownKeys.leader || previous === undefined) return false
+  const [now, before] = [decodeLeader(row.value), decodeLeader(previous.value)]
+  return (
+    now !== undefined &&
+    before !== undefined &&
+    now.term === before.term &&
+    now.leader === before.leader &&
+    now.released === before.released
+  )
+}
--- a/packages/gateway/src/peer-reports.ts
+++ b/packages/gateway/src/peer-reports.ts
@@ -19,6 +19,8 @@
 const guidanceLifetimeMs = 1800
 /** Speeds change slowly, and their table is the largest part of an answer. */
 const speedsEveryMs = 3000
+/** Far above the speeds of the largest deployment. */
+const maxGuidanceBytes = 1024 * 1024
 export const reportPath = '/load'
 
 export interface PeerReportsOptions {
@@ -114,7 +116,7 @@
   readonly #means = new Map<string, MeanOccupancy>()
   /** The same by target. */
   readonly #targetMeans = new Map<string, MeanOccupancy>()
-  readonly #caller = new HttpCaller({ connections: 1 })
+  readonly #caller = new HttpCaller({ connections: 1, maxResponseBytes: maxGuidanceBytes })
   #guidance: Guidance = { shares: {}, occupancy: {}, speedsVersion: '', speeds: {} }
   #guidedAtMs = -guidanceLifetimeMs
   #speedsAtMs = -Infinity
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -22,8 +22,14 @@
 import type { Replica } from './replica.js'
 
 export const relayPath = '/changes'
-/** How long ago the store confirmed the copy, in milliseconds. */
+/** How long ago the store confirmed each copy, in milliseconds. */
 const ageHeader = 'x-age-ms'
+/** Far above the tables of the largest deployment; a broken peer must not fill the memory. */
+const maxAnswerBytes = 32 * 1024 * 1024
+/** Calls for several tables follow each other within a turn or two of the event loop. */
+const gatherMs = 2
+/** Share of the interval between two reads below which a read is left out. */
+const shortestReadShare = 0.25
 /** Keeps every byte, and text remains text, which compresses well. */
 const valueEncoding = 'latin1'
 /** The fastest one; the rows are much alike. */
@@ -46,14 +52,6 @@
   readonly replica: Replica
   /** A copy that was not confirmed for this long is not passed on. */
   readonly maxAgeMs: number
-  /** The last compressed answer, as many followers ask for the same changes. */
-  packed?: PackedAnswer
-}
-
-interface PackedAnswer {
-  readonly after: number
-  readonly version: number
-  readonly body: string | Buffer
 }
 
 interface RelayedRows {
@@ -62,72 +60,149 @@
   readonly isWhole: boolean
 }
 
-/** Answers a follower's call. */
-export const answerRelay = async (
-  table: RelayedTable,
-  query: URLSearchParams,
-  clock: Clock,
-): Promise<PeerAnswer> => {
-  const { log, replica, maxAgeMs } = table
-  const after = Number(query.get('after'))
-  if (!Number.isSafeInteger(after)) return { status: 400 }
-  const ageMs = (): number => replica.ageMs() ?? Infinity
-  const isCurrent = (): boolean => !replica.isFailing && ageMs() <= maxAgeMs
-  if (!isCurrent()) return { status: 503 }
-  // No longer than the copy stays current, if it is not confirmed any more.
-  const waitMs = Math.min(maxAgeMs - ageMs() + 1, Number(query.get('waitMs')) || 0)
-  if (log.since(after)?.length === 0 && waitMs > 0) {
-    await new Promise<void>((resolve) => {
+type RelayedTables = Readonly<Record<string, RelayedRows>>
+
+/** A table and the version that the asking host has of it. */
+type Wanted = readonly [name: string, after: number]
+
+/** One parameter for each table. */
+const encodeWanted = (wanted: Iterable<Wanted>, waitMs: number): URLSearchParams => {
+  const query = new URLSearchParams({ waitMs: String(waitMs) })
+  for (const [name, after] of wanted) query.append('after', `${name}:${String(after)}`)
+  return query
+}
+
+const decodeWanted = (query: URLSearchParams): Wanted[] =>
+  query.getAll('after').map((text) => {
+    const colon = text.lastIndexOf(':')
+    return [text.slice(0, colon), Number(text.slice(colon + 1))]
+  })
+
+const encodeAges = (ages: Iterable<readonly [name: string, ageMs: number]>): string =>
+  [...ages].map(([name, ageMs]) => `${name}=${String(Math.ceil(ageMs))}`).join(',')
+
+const decodeAges = (text: string): Map<string, number> =>
+  new Map(
+    text.split(',').map((part) => {
+      const equals = part.lastIndexOf('=')
+      return [part.slice(0, equals), Number(part.slice(equals + 1))]
+    }),
+  )
+
+interface Served extends RelayedTable {
+  readonly name: string
+  readonly after: number
+}
+
+const ageOf = ({ replica }: RelayedTable): number => replica.ageMs() ?? Infinity
+
+const isCurrent = (table: RelayedTable): boolean => !table.replica.isFailing && ageOf(table) <= table.maxAgeMs
+
+/**
+ * Answers followers' calls for several tables at once. An answer waits for a change that is needed at once, or until all
+ * tables were confirmed: a copy that was just confirmed stays current at its followers for longest.
+ */
+export class Relay {
+  readonly #tables: ReadonlyMap<string, RelayedTable>
+  readonly #clock: Clock
+  /** The last answer, as many followers ask for the same changes. */
+  #packed: { readonly key: string; readonly body: string | Buffer } | undefined
+
+  constructor(tables: ReadonlyMap<string, RelayedTable>, clock: Clock) {
+    this.#tables = tables
+    this.#clock = clock
+  }
+
+  async answer(query: URLSearchParams): Promise<PeerAnswer> {
+    const served: Served[] = []
+    for (const [name, after] of decodeWanted(query)) {
+      const table = this.#tables.get(name)
+      if (table === undefined) return { status: 404 }
+      if (!Number.isSafeInteger(after)) return { status: 400 }
+      served.push({ ...table, name, after })
+    }
+    if (served.length === 0) return { status: 400 }
+    if (!served.every(isCurrent)) return { status: 503 }
+    if (!served.some(({ log, after }) => log.hasUrgentSince(after))) {
+      await this.#changed(served, Number(query.get('waitMs')) || 0)
+      if (!served.every(isCurrent)) return { status: 503 }
+    }
+    const body = this.#pack(served)
+    const encoding: Record<string, string> = typeof body === 'string' ? {} : { 'content-encoding': 'gzip' }
+    const ages = encodeAges(served.map((table) => [table.name, ageOf(table)]))
+    return { status: 200, headers: { ...encoding, [ageHeader]: ages }, body }
+  }
+
+  #changed(served: readonly Served[], longestMs: number): Promise<void> {
+    // No longer than the copies stay current, if they are not confirmed any more.
+    const waitMs = Math.min(longestMs, ...served.map((table) => table.maxAgeMs - ageOf(table) + 1))
+    if (waitMs <= 0) return Promise.resolve()
+    return new Promise((resolve) => {
       const stops: (() => void)[] = []
       const end = (): void => {
         for (const stop of stops) stop()
         resolve()
       }
-      // A confirmation is an answer as well: a copy that was just confirmed stays current at its followers for longest.
-      stops.push(log.onChange(end), log.onConfirmed(end), clock.schedule(waitMs, end))
+      const unconfirmed = new Set(served)
+      for (const table of served) {
+        const confirmed = (): void => {
+          unconfirmed.delete(table)
+          if (unconfirmed.size === 0) end()
+        }
+        stops.push(table.log.onChange(end), table.log.onConfirmed(confirmed))
+      }
+      stops.push(this.#clock.schedule(waitMs, end))
     })
   }
-  if (!isCurrent()) return { status: 503 }
-  const body = pack(table, after)
-  const encoding: Record<string, string> = typeof body === 'string' ? {} : { 'content-encoding': 'gzip' }
-  return { status: 200, headers: { ...encoding, [ageHeader]: String(Math.ceil(ageMs())) }, body }
+
+  /** Compressed, as a configuration of a thousand routes would fill the link of a small host for seconds. */
+  #pack(served: readonly Served[]): string | Buffer {
+    const key = served
+      .map(({ name, after, log }) => `${name}:${String(after)}:${String(log.version)}`)
+      .join(',')
+    if (this.#packed?.key === key) return this.#packed.body
+    const tables: RelayedTables = Object.fromEntries(served.map((table) => [table.name, relayedRows(table)]))
+    const text = JSON.stringify(tables)
+    const body = text.length < compressFromBytes ? text : gzipSync(text, { level: compressionLevel })
+    this.#packed = { key, body }
+    return body
+  }
 }
 
-/** Compressed, as a configuration of a thousand routes would fill the link of a small host for seconds. */
-const pack = (table: RelayedTable, after: number): string | Buffer => {
-  const { log, packed } = table
-  if (packed?.after === after && packed.version === log.version) return packed.body
+const relayedRows = ({ log, after }: Served): RelayedRows => {
   const changes = log.since(after)
-  const rows: RelayedRows['rows'] = (changes ?? log.rows()).map((row) =>
-    'deleted' in row
-      ? { key: row.key, version: row.version }
-      : { key: row.key, version: row.version, value: row.value.toString(valueEncoding) },
-  )
-  const answer: RelayedRows = {
-    rows,
+  return {
+    rows: (changes ?? log.rows()).map((row) =>
+      'deleted' in row
+        ? { key: row.key, version: row.version }
+        : { key: row.key, version: row.version, value: row.value.toString(valueEncoding) },
+    ),
     version: changes === undefined ? log.version : Math.max(after, log.version),
     isWhole: changes === undefined,
   }
-  const text = JSON.stringify(answer)
-  const body = text.length < compressFromBytes ? text : gzipSync(text, { level: compressionLevel })
-  table.packed = { after, version: log.version, body }
-  return body
 }
 
-const decode = async ({ headers, body }: HttpResponse): Promise<TableChanges | undefined> => {
+const decode = async ({ headers, body }: HttpResponse): Promise<Map<string, TableChanges> | undefined> => {
   try {
-    const text = headers['content-encoding'] === 'gzip' ? await unzip(body) : body
-    const { rows, version, isWhole } = JSON.parse(text.toString('utf8')) as RelayedRows
-    return {
-      version,
-      isWhole,
-      ageMs: Number(headers[ageHeader]),
-      rows: rows.map(({ key, version: rowVersion, value }) =>
-        value === undefined
-          ? { key, version: rowVersion, deleted: true }
-          : { key, version: rowVersion, value: Buffer.from(value, valueEncoding) },
-      ),
-    }
+    const text =
+      headers['content-encoding'] === 'gzip' ? await unzip(body, { maxOutputLength: maxAnswerBytes }) : body
+    const tables = JSON.parse(text.toString('utf8')) as RelayedTables
+    const ages = decodeAges(String(headers[ageHeader]))
+    return new Map(
+      Object.entries(tables).map(([name, { rows, version, isWhole }]) => [
+        name,
+        {
+          version,
+          isWhole,
+          ageMs: ages.get(name) ?? Infinity,
+          rows: rows.map(({ key, version: rowVersion, value }) =>
+            value === undefined
+              ? { key, version: rowVersion, deleted: true }
+              : { key, version: rowVersion, value: Buffer.from(value, valueEncoding) },
+          ),
+        },
+      ]),
+    )
   } catch {
     return undefined
   }
@@ -139,10 +214,13 @@
   readonly logger: Logger
   /** Hosts that may be followed, in the order in which they are asked. */
   readonly sources: () => readonly string[]
-  /** Longest time between two confirmations of a copy by the store. */
+  /** Time between two confirmations of a copy by the store; tables are read together, as they are passed on together. */
   readonly confirmedEveryMs: number
-  /** Pause between two direct reads of a table that changes all the time. */
-  readonly pollIntervalMs: Readonly<Record<string, number>>
+  /**
+   * Whether a direct read may wait for the next change of the table. A table that changes all the time is read at
+   * intervals instead, as each wait would end at once.
+   */
+  readonly mayWait: (table: string) => boolean
 }
 
 /** A version below all others. */
@@ -153,13 +231,23 @@
   pausedUntilMs: number
 }
 
+/** Calls for several tables that are sent to one host together. */
+interface Batch {
+  readonly wanted: Map<string, number>
+  readonly answered: Promise<ReadonlyMap<string, TableChanges> | undefined>
+}
+
 export class RelayedStore extends RowStore {
   readonly #options: RelayedStoreOptions
-  readonly #caller = new HttpCaller({ connections: 4 })
+  readonly #caller = new HttpCaller({ connections: 4, maxResponseBytes: maxAnswerBytes })
   readonly #sources = new Map<string, Source>()
-  readonly #directAtMs = new Map<string, number>()
+  /** By address; a batch is open to further tables until it is sent. */
+  readonly #openBatches = new Map<string, Batch>()
   /** The host that each table was last taken from. */
   readonly #followed = new Map<string, string>()
+  /** Tables that are read without waiting for the next interval, and how to end a wait under way. */
+  readonly #expedited = new Set<string>()
+  readonly #endWait = new Map<string, () => void>()
 
   constructor(options: RelayedStoreOptions) {
     super()
@@ -168,11 +256,9 @@
 
   override async snapshot(table: string, options?: StoreCallOptions): Promise<StoreResult<TableSnapshot>> {
     const address = this.#source()
-    const relayed = address === undefined ? undefined : await this.#followHost(address, table, nothingKnown)
-    if (relayed?.isOk !== true || relayed.value.isWhole !== true) {
-      return this.#options.store.snapshot(table, options)
-    }
-    const { rows, version, ageMs } = relayed.value
+    const relayed = address === undefined ? undefined : await this.#ask(address, table, nothingKnown)
+    if (relayed?.isWhole !== true) return this.#options.store.snapshot(table, options)
+    const { rows, version, ageMs } = relayed
     return Result.ok({ rows: presentRows(rows), version, ...(ageMs === undefined ? {} : { ageMs }) })
   }
 
@@ -183,9 +269,16 @@
   override async changes(table: string, after: number, waitMs: number): Promise<StoreResult<TableChanges>> {
     const address = this.#source()
     if (address === undefined) return this.#followStore(table, after, waitMs)
-    const relayed = await this.#followHost(address, table, after)
+    const relayed = await this.#ask(address, table, after)
+    if (relayed !== undefined) return Result.ok(relayed)
     // The copy may be as old as it may get, so the store is asked at once, and without waiting for a change.
-    return relayed ?? this.#options.store.changes(table, after, 0)
+    return this.#options.store.changes(table, after, 0)
+  }
+
+  /** Reads the table at once where this host reads the store itself, for a change that this host has just made. */
+  expedite(table: string): void {
+    this.#expedited.add(table)
+    this.#endWait.get(table)?.()
   }
 
   close(): void {
@@ -199,31 +292,50 @@
       .find((address) => (this.#sources.get(address)?.pausedUntilMs ?? -Infinity) <= nowMs)
   }
 
+  /** Undefined when the host does not answer or its copies are old. */
+  async #ask(address: string, table: string, after: number): Promise<TableChanges | undefined> {
+    let batch = this.#openBatches.get(address)
+    if (batch === undefined || batch.wanted.has(table)) {
+      const wanted = new Map<string, number>()
+      const opened: Batch = {
+        wanted,
+        answered: this.#options.clock.sleep(gatherMs).then(() => {
+          if (this.#openBatches.get(address) === opened) this.#openBatches.delete(address)
+          return this.#followHost(address, wanted)
+        }),
+      }
+      batch = opened
+      this.#openBatches.set(address, batch)
+    }
+    batch.wanted.set(table, after)
+    return (await batch.answered)?.get(table)
+  }
+
   async #followHost(
     address: string,
-    table: string,
-    after: number,
-  ): Promise<StoreResult<TableChanges> | undefined> {
+    wanted: ReadonlyMap<string, number>,
+  ): Promise<ReadonlyMap<string, TableChanges> | undefined> {
     const { logger, confirmedEveryMs } = this.#options
     const relayWaitMs = confirmedEveryMs + confirmationSlackMs
-    const query = new URLSearchParams({ table, after: String(after), waitMs: String(relayWaitMs) })
     const answer = await this.#caller.call({
       step: 'relay.changes',
       address,
       method: 'GET',
-      path: `${relayPath}?${query.toString()}`,
+      path: `${relayPath}?${encodeWanted(wanted, relayWaitMs).toString()}`,
       timeoutMs: relayWaitMs + relayTimeoutMs,
     })
     const changes = answer.isOk && answer.value.status === 200 ? await decode(answer.value) : undefined
+    const tables = [...wanted.keys()].join(',')
     if (changes !== undefined) {
-      if (this.#followed.get(table) !== address) logger.info('relay.used', { table, source: address })
-      this.#followed.set(table, address)
+      const isNew = [...wanted.keys()].some((table) => this.#followed.get(table) !== address)
+      if (isNew) logger.info('relay.used', { tables, source: address })
+      for (const table of wanted.keys()) this.#followed.set(table, address)
       this.#sources.delete(address)
-      return Result.ok(changes)
+      return changes
     }
-    this.#followed.delete(table)
+    for (const table of wanted.keys()) this.#followed.delete(table)
     const cause = answer.isErr ? answer.error.message : `status ${String(answer.value.status)}`
-    logger.info('relay.lost', { table, source: address, cause, pauseMs: this.#pause(address) })
+    logger.info('relay.lost', { tables, source: address, cause, pauseMs: this.#pause(address) })
     return undefined
   }
 
@@ -237,12 +349,29 @@
     return pauseMs
   }
 
+  /** Reads of all tables end at the same moments, so that followers get one answer for all of them. */
   async #followStore(table: string, after: number, waitMs: number): Promise<StoreResult<TableChanges>> {
-    const { store, clock, pollIntervalMs } = this.#options
-    const intervalMs = pollIntervalMs[table] ?? 0
-    const dueMs = (this.#directAtMs.get(table) ?? -Infinity) + intervalMs - clock.monotonicMs()
-    if (dueMs > 0) await clock.sleep(dueMs)
-    this.#directAtMs.set(table, clock.monotonicMs())
-    return store.changes(table, after, intervalMs > 0 ? 0 : waitMs)
+    const { store, mayWait } = this.#options
+    const untilNextMs = this.#untilNextReadMs()
+    if (mayWait(table)) return store.changes(table, after, Math.min(waitMs, Math.floor(untilNextMs)))
+    if (!this.#expedited.has(table)) {
+      await new Promise<void>((resolve) => {
+        const cancel = this.#options.clock.schedule(untilNextMs, resolve)
+        this.#endWait.set(table, () => {
+          cancel()
+          resolve()
+        })
+      })
+      this.#endWait.delete(table)
+    }
+    this.#expedited.delete(table)
+    return store.changes(table, after, 0)
+  }
+
+  #untilNextReadMs(): number {
+    const { clock, confirmedEveryMs } = this.#options
+    const untilMs = confirmedEveryMs - (clock.monotonicMs() % confirmedEveryMs)
+    // Timers end a little early or late.
+    return untilMs < confirmedEveryMs * shortestReadShare ? untilMs + confirmedEveryMs : untilMs
   }
 }
--- a/packages/gateway/src/replica.test.ts
+++ b/packages/gateway/src/replica.test.ts
@@ -6,7 +6,7 @@
 import { Random, SilentLogger } from '@pimentotally/core'
 import { VirtualTime } from '@pimentotally/core/testing'
 import { ChangeLog } from './change-log.js'
-import { answerRelay, type RelayedTable } from './relay.js'
+import { Relay, RelayedStore, type RelayedTable } from './relay.js'
 import { Replica } from './replica.js'
 import { StoreView, WorldStore } from './testing-world.js'
 
@@ -90,17 +90,23 @@
   assert.ok((replica.ageMs() ?? 0) > 2000)
 })
 
+const relayOf = ({ relayed, time }: Pick<Followed, 'relayed' | 'time'>): Relay =>
+  new Relay(new Map([[table, relayed]]), time.clock())
+
+const queryFor = (after: number, waitMs = 0): URLSearchParams =>
+  new URLSearchParams({ after: `${table}:${String(after)}`, waitMs: String(waitMs) })
+
 const ask = async (
   { relayed, time }: Followed,
   after: number,
   waitMs = 0,
 ): Promise<{ status: number; keys: string[]; isWhole: boolean }> => {
-  const query = new URLSearchParams({ after: String(after), waitMs: String(waitMs) })
-  const pending = answerRelay(relayed, query, time.clock())
+  const pending = relayOf({ relayed, time }).answer(queryFor(after, waitMs))
   await time.advance(waitMs + 10)
   const { status, body } = await pending
-  const text = Buffer.isBuffer(body) ? gunzipSync(body).toString() : (body ?? '{"rows":[],"isWhole":false}')
-  const { rows, isWhole } = JSON.parse(text) as { rows: { key: string }[]; isWhole: boolean }
+  const text = Buffer.isBuffer(body) ? gunzipSync(body).toString() : (body ?? '{}')
+  const answer = JSON.parse(text) as Record<string, { rows: { key: string }[]; isWhole: boolean } | undefined>
+  const { rows, isWhole } = answer[table] ?? { rows: [], isWhole: false }
   return { status, keys: rows.map(({ key }) => key), isWhole }
 }
 
@@ -148,8 +154,7 @@
     store.write(table, 'config', routes(version))
     await time.advance(600)
   }
-  const query = new URLSearchParams({ after: String(first) })
-  const { body } = await answerRelay(followed.relayed, query, time.clock())
+  const { body } = await relayOf(followed).answer(queryFor(first))
   assert.deepEqual((await ask(followed, first)).keys, ['config'])
   assert.ok((body?.length ?? Infinity) < routes(3).length / 10 + 1000, String(body?.length))
 })
@@ -194,12 +199,13 @@
   const { time, store, relayed, log } = followed
   await time.advance(1000)
   store.isSilent = true
-  const query = new URLSearchParams({ after: String(log.version), waitMs: '1000' })
+  const query = queryFor(log.version, 1000)
+  const relay = relayOf(followed)
   // Asks again whenever it is answered, as a follower does.
   let refusedAtMs: number | undefined
   const silentAtMs = time.nowMs()
   const asking = (async () => {
-    while ((await answerRelay(relayed, query, time.clock())).status === 200);
+    while ((await relay.answer(query)).status === 200);
     refusedAtMs = time.nowMs()
   })()
   await time.advance(4000)
@@ -223,3 +229,112 @@
   assert.equal(woken, 1)
   assert.equal(log.since(1)?.length, 1)
 })
+
+test('a renewal of a lease wakes no follower, and reaches it with the next confirmation', () => {
+  const log = new ChangeLog({ isUrgent: ({ key }) => key !== 'leader' })
+  const row = (key: string, version: number) => ({ key, version, value: Buffer.from('') })
+  log.record({ changed: [row('leader', 1)], removed: [], version: 1 })
+  const woken: string[] = []
+  log.onChange(() => woken.push('change'))
+  log.onConfirmed(() => woken.push('confirmation'))
+  log.record({ changed: [row('leader', 2)], removed: [], version: 2 })
+  assert.deepEqual(woken, ['confirmation'])
+  assert.equal(log.hasUrgentSince(1), false)
+  assert.deepEqual(log.since(1), [row('leader', 2)])
+  log.record({ changed: [row('host', 3)], removed: [], version: 3 })
+  assert.deepEqual(woken, ['confirmation', 'change'])
+  assert.equal(log.hasUrgentSince(1), true)
+})
+
+test('an answer for several tables waits until all of them were confirmed, or one has an urgent change', async () => {
+  const time = new VirtualTime()
+  const replica = { ageMs: () => 0, isFailing: false } as unknown as Replica
+  const logs = new Map(['a', 'b'].map((name) => [name, new ChangeLog()]))
+  for (const log of logs.values()) log.record({ changed: [], removed: [], version: 1 })
+  const relay = new Relay(
+    new Map([...logs].map(([name, log]) => [name, { log, replica, maxAgeMs: 1000 }])),
+    time.clock(),
+  )
+  const ask = (): { isAnswered: boolean } => {
+    const state = { isAnswered: false }
+    const query = new URLSearchParams({ waitMs: '900' })
+    query.append('after', 'a:1')
+    query.append('after', 'b:1')
+    void relay.answer(query).then(() => (state.isAnswered = true))
+    return state
+  }
+  const record = async (name: string, changed: { key: string; version: number; value: Buffer }[] = []) => {
+    logs.get(name)?.record({ changed, removed: [], version: changed[0]?.version ?? 1 })
+    await time.advance(1)
+  }
+  const first = ask()
+  await record('a')
+  await record('a')
+  assert.equal(first.isAnswered, false)
+  await record('b')
+  assert.equal(first.isAnswered, true)
+  const second = ask()
+  await record('b', [{ key: 'k', version: 2, value: Buffer.from('') }])
+  assert.equal(second.isAnswered, true)
+})
+
+test('a host that reads the store itself reads a busy table at intervals, and at once after its own change', async () => {
+  const time = new VirtualTime()
+  const clock = time.clock()
+  const world = new WorldStore(time)
+  const view = new StoreView(world, new Random(1))
+  const readAtMs: number[] = []
+  const changes = view.changes.bind(view)
+  view.changes = (...args) => {
+    readAtMs.push(clock.monotonicMs())
+    return changes(...args)
+  }
+  const store = new RelayedStore({
+    store: view,
+    clock,
+    logger: new SilentLogger(),
+    sources: () => [],
+    confirmedEveryMs: 800,
+    mayWait: () => false,
+  })
+  const read = async (): Promise<void> => {
+    await store.changes(table, 0, 800)
+  }
+  const following = (async () => {
+    for (let index = 0; index < 4; index += 1) await read()
+  })()
+  // A leader renews its lease twice a second.
+  for (let ms = 0; ms < 2000; ms += 500) {
+    world.write(table, 'leader', Buffer.from(String(ms)))
+    await time.advance(500)
+  }
+  assert.equal(readAtMs.length, 2)
+  store.expedite(table)
+  await time.advance(50)
+  assert.equal(readAtMs.length, 3)
+  await time.advance(1000)
+  await following
+  assert.equal(readAtMs.length, 4)
+})
+
+test('an older copy of another host does not bring back a row that is known to be gone', async () => {
+  const followed = follow()
+  const { time, store, view, replica } = followed
+  store.write(table, 'a', Buffer.from('1'))
+  await time.advance(600)
+  const older = { rows: [...replica.rows.values()], version: store.version }
+  store.remove(table, 'a')
+  await time.advance(600)
+  assert.deepEqual([...replica.rows.keys()], [])
+  // The history is lost, and the whole table comes from a host that is behind.
+  let copies = 0
+  view.snapshot = () => {
+    copies += 1
+    return Promise.resolve(Result.ok(older))
+  }
+  store.write('another', 'b', Buffer.from('1'))
+  store.forgetHistory()
+  await time.advance(1000)
+  assert.ok(copies > 0)
+  assert.deepEqual([...replica.rows.keys()], [])
+})
--- a/packages/gateway/src/replica.ts
+++ b/packages/gateway/src/replica.ts
@@ -43,7 +43,10 @@
 export class Replica {
   readonly #options: ReplicaOptions
   readonly #rows = new Map<string, StoredRow>()
+  /** Where the feed goes on; undefined when the table has to be read anew. */
   #version: number | undefined
+  /** Everything up to this version is known. */
+  #knownVersion = 0
   #confirmedAtMs: number | undefined
   #failures = 0
   #stopped = false
@@ -95,20 +98,30 @@
     const { store, table } = this.#options
     const read = await store.snapshot(table, { timeoutMs: wholeTableTimeoutMs })
     if (read.isErr) return this.#failed(read.error)
-    this.#replace(read.value)
-    return true
+    return this.#replace(read.value)
   }
 
-  #replace({ rows, version, ageMs }: TableSnapshot): void {
+  /** A table that is older than what this host knows would bring back rows that are gone. */
+  #replace({ rows, version, ageMs }: TableSnapshot): boolean {
+    if (version < this.#knownVersion) {
+      const message = `version ${String(version)} is older than ${String(this.#knownVersion)}`
+      return this.#failed({ code: 'unavailable', step: 'replica.replace', message })
+    }
     const current = new Map(rows.map((row) => [row.key, row]))
     const changed = rows.filter((row) => (this.#rows.get(row.key)?.version ?? 0) < row.version)
     const removed = [...this.#rows.values()]
       .filter((row) => !current.has(row.key) && row.version <= version)
       .map(({ key }) => key)
     this.#apply(changed, removed)
-    this.#version = version
+    this.#advance(version)
     this.#succeeded(ageMs)
     this.#options.listener.confirmed({ changed, removed, version })
+    return true
+  }
+
+  #advance(version: number): void {
+    this.#version = version
+    this.#knownVersion = Math.max(this.#knownVersion, version)
   }
 
   async #follow(after: number): Promise<boolean> {
@@ -123,8 +136,7 @@
       return this.#failed(read.error)
     }
     if (read.value.isWhole === true) {
-      this.#replace({ ...read.value, rows: presentRows(read.value.rows) })
-      return true
+      return this.#replace({ ...read.value, rows: presentRows(read.value.rows) })
     }
     const changed: StoredRow[] = []
     const removed: string[] = []
@@ -135,9 +147,9 @@
       else changed.push(row)
     }
     this.#apply(changed, removed)
-    this.#version = Math.max(after, read.value.version)
+    this.#advance(Math.max(after, read.value.version))
     this.#succeeded(read.value.ageMs)
-    listener.confirmed({ changed, removed, version: this.#version })
+    listener.confirmed({ changed, removed, version: this.#knownVersion })
     return true
   }
 
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -37,6 +37,10 @@
 const answerMarginMs = 15
 /** For callers and routes that set no limit. */
 const longestRequestMs = 60_000
+/** An answer that arrives after its caller's deadline is still passed on for this time. */
+const streamMarginMs = 1000
+/** The same from its beginning, for callers that set no deadline. */
+const longestStreamMs = 600_000
 /** Sends of one request, whatever its route allows. */
 const maxSends = 3
 /** With less than this share of the work time left, another send would hardly end in time. */
@@ -321,9 +325,21 @@
     }
     this.#finish('answered', { status, target: targetId })
     this.#cancelAttempts()
-    passOn(this.#inbound.response, result, () => {
-      this.#options.logger.warn('answer.cut', { requestId: this.#inbound.requestId, target: targetId })
-    })
+    this.#passOn(targetId, result)
+  }
+
+  #passOn(targetId: string | undefined, result: TargetResponse): void {
+    const { clock, logger } = this.#options
+    const { requestId, callerDeadlineMs, arrivedAtMs, response } = this.#inbound
+    const elapsedMs = this.#nowMs() - arrivedAtMs
+    const longestMs =
+      callerDeadlineMs === undefined
+        ? longestStreamMs
+        : Math.max(0, callerDeadlineMs - elapsedMs) + streamMarginMs
+    const cut = (reason: string): void => {
+      logger.warn('answer.cut', { requestId, target: targetId, reason, longestMs })
+    }
+    passOn(response, result, { clock, longestMs, cut })
   }
 
   /** Ends a request for which no target is left, once nothing is under way any more. */
@@ -331,7 +347,7 @@
     if (this.#attempts.size > 0) return
     if (this.#spare?.complete === true) {
       this.#finish('answered', { status: this.#spare.status })
-      passOn(this.#inbound.response, this.#spare, () => undefined)
+      this.#passOn(undefined, this.#spare)
       return
     }
     this.#spare?.incoming.destroy()
--- a/packages/gateway/src/target-exchange.ts
+++ b/packages/gateway/src/target-exchange.ts
@@ -10,6 +10,15 @@
 /** Larger responses are passed on while they arrive; smaller ones can still be repeated when they break off. */
 export const maxBufferedBytes = 64 * 1024
 
+/** Interim answers (1xx) that a target may send before the final one; a broken target may send them without end. */
+const maxInterimAnswers = 16
+
+/**
+ * Bytes of framing without any of the body: far more than chunk sizes and trailers take. Node's parser accepts any number
+ * of leading zeros in a chunk size.
+ */
+const maxFramingBytes = 256 * 1024
+
 /** Why no byte was sent. */
 export const NotSentReason = {
   /** The target could not be connected to. */
@@ -34,6 +43,8 @@
       /** The whole body, or what has arrived of a large one. */
       readonly body: readonly Buffer[]
       readonly complete: boolean
+      /** Settles when the rest of an incomplete body has arrived: whether it ended as its framing says. */
+      readonly endsCleanly: Promise<boolean>
       /** The target states that it has not run the request. */
       readonly notExecuted: boolean
     }
@@ -71,6 +82,7 @@
   #settled = false
   #sent = false
   #connectTimer: NodeJS.Timeout | undefined
+  #interimAnswers = 0
 
   constructor(options: ExchangeOptions) {
     this.#options = options
@@ -93,6 +105,10 @@
       if (socket.connecting) socket.once('connect', () => this.#start())
       else this.#start()
     })
+    this.#request.on('information', () => {
+      this.#interimAnswers += 1
+      if (this.#interimAnswers > maxInterimAnswers) this.#lose('malformed')
+    })
     this.#request.on('response', (response) => this.#respond(response))
     this.#request.on('error', (error: NodeJS.ErrnoException) => this.#fail(error))
   }
@@ -133,16 +149,30 @@
     }
     const body: Buffer[] = []
     let bytes = 0
-    const closing = isFramed(incoming) ? Promise.resolve(true) : this.#closedCleanly()
+    const endsCleanly = isFramed(incoming) ? Promise.resolve(true) : this.#closedCleanly()
     const respond = (complete: boolean): void => {
       // A target that answers before it has read the body may read on later; nothing else may follow on the connection.
       if (complete && !this.#request.writableFinished) this.#socket?.destroy()
-      this.#settle({ kind: 'response', status, incoming, body, complete, notExecuted })
+      this.#settle({ kind: 'response', status, incoming, body, complete, endsCleanly, notExecuted })
+    }
+    const socket = this.#socket
+    let bodyAtBytes = socket?.bytesRead ?? 0
+    const checkFraming = (): void => {
+      if ((socket?.bytesRead ?? 0) - bodyAtBytes <= maxFramingBytes) return
+      socket?.off('data', checkFraming)
+      // Also when the body is being passed on already.
+      if (this.#settled) incoming.destroy()
+      else this.#lose('malformed')
     }
+    socket?.on('data', checkFraming)
+    incoming.on('data', () => {
+      bodyAtBytes = socket?.bytesRead ?? 0
+    })
+    incoming.once('end', () => socket?.off('data', checkFraming))
     const onData = (chunk: Buffer): void => {
       body.push(chunk)
       bytes += chunk.length
-      if (bytes <= maxBufferedBytes || !isFramed(incoming)) return
+      if (bytes <= maxBufferedBytes) return
       stop()
       incoming.pause()
       respond(false)
@@ -152,7 +182,7 @@
       if (!incoming.complete) this.#lose('truncated')
       else if (isFramed(incoming)) respond(true)
       else
-        closing.then((clean) => {
+        endsCleanly.then((clean) => {
           if (clean) respond(true)
           else this.#lose('truncated')
         }, onFailure)
--- /dev/null
+++ b/packages/gateway/src/testing-gateway.ts
@@ -0,0 +1,244 @@
+/** The request path of one host on real sockets, without the rest of the daemon, and targets that behave as a test says. */
+import {
+  createServer,
+  request as httpRequest,
+  type ClientRequest,
+  type IncomingMessage,
+  type ServerResponse,
+} from 'node:http'
+import { createServer as createTcpServer, type AddressInfo, type Socket } from 'node:net'
+import type { TestContext } from 'node:test'
+import { Random, SilentLogger, SystemClock } from '@pimentotally/core'
+import { blockCount, encodeBlock, initialAssignment } from '@pimentotally/assignment'
+import {
+  answerHeaders,
+  callerHeaders,
+  configurationRow,
+  requestIdOf,
+  targetRow,
+  type CallerFields,
+} from '@pimentotally/platform/testing'
+import { CallerServer } from './caller-server.js'
+import { Directory } from './directory.js'
+import { Dispatcher } from './dispatcher.js'
+import { GatewayMetrics } from './metrics.js'
+import { ownKeys } from './own-rows.js'
+import { TargetTable } from './target-table.js'
+import { freePort } from './testing.js'
+
+export type Handler = (request: IncomingMessage, response: ServerResponse) => void
+
+export interface TestTarget {
+  readonly id: string
+  readonly address: string
+  /** Request ids in the order of their arrival. */
+  readonly seen: string[]
+}
+
+export const answer =
+  (status: number, { notExecuted = false } = {}): Handler =>
+  (request, response) => {
+    response.writeHead(status, answerHeaders(requestIdOf(request), { notExecuted })).end('body')
+  }
+
+export const reset: Handler = (request) => {
+  request.socket.resetAndDestroy()
+}
+
+export const shed = answer(503, { notExecuted: true })
+
+export const startTarget = async (t: TestContext, id: string, handler: Handler): Promise<TestTarget> => {
+  const seen: string[] = []
+  const server = createServer((request, response) => {
+    seen.push(requestIdOf(request))
+    handler(request, response)
+  })
+  t.after(() => {
+    server.close()
+    server.closeAllConnections()
+  })
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  return { id, seen, address: `127.0.0.1:${String((server.address() as AddressInfo).port)}` }
+}
+
+/** A target that writes bytes of its own choice: `respond` gets the id of each request and the number of those before it. */
+export const startRawTarget = async (
+  t: TestContext,
+  id: string,
+  respond: (socket: Socket, requestId: string, index: number) => void,
+): Promise<TestTarget & { readonly connections: () => number }> => {
+  const seen: string[] = []
+  const sockets = new Set<Socket>()
+  const server = createTcpServer((socket) => {
+    sockets.add(socket)
+    let text = ''
+    socket.on('error', () => undefined)
+    socket.on('data', (chunk) => {
+      text += chunk.toString('latin1')
+      for (let end = text.indexOf('\r\n\r\n'); end >= 0; end = text.indexOf('\r\n\r\n')) {
+        const requestId = /x-request-id: (\S+)/i.exec(text.slice(0, end))?.[1] ?? ''
+        const length = Number(/content-length: (\d+)/i.exec(text.slice(0, end))?.[1] ?? 0)
+        text = text.slice(end + 4 + length)
+        seen.push(requestId)
+        respond(socket, requestId, seen.length - 1)
+      }
+    })
+  })
+  t.after(() => {
+    for (const socket of sockets) socket.destroy()
+    server.close()
+  })
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  const address = `127.0.0.1:${String((server.address() as AddressInfo).port)}`
+  return { id, seen, address, connections: () => sockets.size }
+}
+
+/** The head of a target's answer, up to and without the empty line. */
+export const rawHead = (requestId: string, fields: readonly string[]): string =>
+  [
+    'HTTP/1.1 200 OK',
+    ...Object.entries(answerHeaders(requestId)).map(([name, value]) => `${name}: ${value}`),
+    ...fields,
+    '',
+  ].join('\r\n')
+
+export interface Answer {
+  readonly status: number
+  readonly headers: IncomingMessage['headers']
+  readonly body: string
+}
+
+export interface CallOptions {
+  readonly method?: string
+  readonly fields?: Partial<CallerFields>
+  readonly headers?: Record<string, string>
+  readonly body?: string
+}
+
+export class Gateway {
+  readonly directory: Directory
+  readonly #targets: TargetTable
+  readonly #port: number
+  #requests = 0
+  #outgoing: ClientRequest | undefined
+
+  private constructor(directory: Directory, targets: TargetTable, port: number) {
+    this.directory = directory
+    this.#targets = targets
+    this.#port = port
+  }
+
+  static async start(
+    t: TestContext,
+    targets: readonly TestTarget[],
+    { isSharded = false } = {},
+  ): Promise<Gateway> {
+    const clock = new SystemClock()
+    const logger = new SilentLogger()
+    const random = new Random(1)
+    const directory = new Directory({ clock, logger })
+    directory.applyOperator({ changed: [configurationRow({ isSharded })], removed: [], version: 1 })
+    directory.applyRegister({
+      changed: targets.map(({ id, address }) => targetRow({ id, address })),
+      removed: [],
+      version: 2,
+    })
+    const table = new TargetTable({ clock, logger, directory, hostName: 'h' })
+    const dispatcher = new Dispatcher({
+      clock,
+      logger,
+      random,
+      directory,
+      targets: table,
+      metrics: new GatewayMetrics(),
+      domain: 'a',
+      retryBudget: { ratio: 0.2, windowMs: 10_000, slack: 60 },
+      countKey: () => undefined,
+      observeSpeed: () => undefined,
+      admittedShare: () => 1,
+    })
+    const server = new CallerServer({ clock, logger, directory, dispatcher })
+    const port = await freePort()
+    await server.listen(`127.0.0.1:${String(port)}`)
+    t.after(() => server.finish(0))
+    return new Gateway(directory, table, port)
+  }
+
+  /** Assigns all keys to one target. */
+  assign(owner: string, { version, formerOwner }: { version: number; formerOwner?: string }): void {
+    const { ranges } = initialAssignment('notes', [{ id: owner, startedAtEpochMs: 1000, weight: 1 }])
+    const assignment = {
+      service: 'notes',
+      lastFence: version,
+      addresses: {},
+      ranges: ranges.map((range) => ({ ...range, fence: version, formerOwner })),
+    }
+    for (let block = 0; block < blockCount; block += 1) {
+      this.directory.applyOwnRow({
+        key: ownKeys.assignment('notes', block),
+        version,
+        value: Buffer.from(encodeBlock(assignment, block)),
+      })
+    }
+  }
+
+  /** Another target registers. */
+  add({ id, address }: TestTarget): void {
+    this.directory.applyRegister({ changed: [targetRow({ id, address })], removed: [], version: 2 })
+  }
+
+  /** The target's entry vanishes, and what the host keeps of it is forgotten. */
+  remove(id: string): void {
+    this.directory.applyRegister({ changed: [], removed: [id], version: 3 })
+    this.#targets.retain()
+  }
+
+  evacuate(domain: string): void {
+    this.directory.applyOperator({
+      changed: [{ key: `evacuate/${domain}`, version: 4, value: Buffer.from('{}') }],
+      removed: [],
+      version: 4,
+    })
+  }
+
+  connectFailures(id: string): number {
+    return this.#targets.of(id).connectFailures
+  }
+
+  /** The caller of the last request closes its connection. */
+  hangUp(): void {
+    this.#outgoing?.destroy()
+  }
+
+  call(path: string, { method = 'GET', fields = {}, headers = {}, body }: CallOptions = {}): Promise<Answer> {
+    this.#requests += 1
+    const requestId = `r-${String(this.#requests)}`
+    return new Promise((resolve, reject) => {
+      const outgoing = httpRequest(
+        {
+          host: '127.0.0.1',
+          port: this.#port,
+          path,
+          method,
+          headers: {
+            host: 'shop.example',
+            ...callerHeaders({ requestId, deadlineMs: 3000, ...fields }),
+            ...headers,
+          },
+        },
+        (incoming) => {
+          const chunks: Buffer[] = []
+          incoming.on('data', (chunk: Buffer) => chunks.push(chunk))
+          incoming.on('error', reject)
+          incoming.on('end', () => {
+            const text = Buffer.concat(chunks).toString()
+            resolve({ status: incoming.statusCode ?? 0, headers: incoming.headers, body: text })
+          })
+        },
+      )
+      outgoing.on('error', reject)
+      this.#outgoing = outgoing
+      outgoing.end(body)
+    })
+  }
+}
--- a/packages/gateway/src/testing-world.ts
+++ b/packages/gateway/src/testing-world.ts
@@ -243,6 +243,7 @@
       maxHoldMs,
       workMs: () => 100,
       occupancy: (target) => world.occupancy.get(target) ?? 0,
+      stored: () => undefined,
     })
     const follow = (table: string, apply: (change: Parameters<Directory['applyOwn']>[0]) => void): Replica =>
       new Replica({ store: this.store, table, clock, logger, waitMs: 500, listener: { confirmed: apply } })
--- a/packages/http/src/http-caller.ts
+++ b/packages/http/src/http-caller.ts
@@ -49,6 +49,9 @@
   return { host: address.slice(0, colon).replace(/^\[|\]$/g, ''), port: Number(address.slice(colon + 1)) }
 }
 
+/** Interim answers (1xx) before the final one. */
+const maxInterimAnswers = 16
+
 export class HttpCaller {
   readonly #options: Required<HttpCallerOptions>
   readonly #agents = new Map<string, TargetAgent>()
@@ -135,6 +138,13 @@
       outgoing.on('error', (error: NodeJS.ErrnoException) => {
         fail('lost', error.message, error.code)
       })
+      let interimAnswers = 0
+      outgoing.on('information', () => {
+        interimAnswers += 1
+        if (interimAnswers <= maxInterimAnswers) return
+        fail('lost', 'interim answers without a final one')
+        outgoing.destroy()
+      })
       outgoing.on('response', (incoming) => {
         collect(incoming, this.#options.maxResponseBytes).then(
           (bytes) => {
