Wait longer for keys that move; write requests that run once only to connections that stand

With 195 hosts, targets reset connections over their cap; an unsafe request was written before the reset came, so its outcome was unknown though it had reached nobody.

A request that must not be repeated is written 4 ms after its connection was opened, and goes to another target if the connection was reset before. A host that starts waits for the first read of the host that it follows.

--- a/packages/gateway/src/broken-answers.test.ts
+++ b/packages/gateway/src/broken-answers.test.ts
@@ -72,6 +72,24 @@
   assert.equal(target.seen.length + other.seen.length, 1)
 })
 
+test('a target that resets each new connection gets no unsafe request, which runs at another target', async (t) => {
+  const overCap = await startRawTarget(
+    t,
+    'a',
+    (socket) => socket.destroy(),
+    (socket) => socket.resetAndDestroy(),
+  )
+  const other = await startRawTarget(t, 'b', (socket, requestId) => socket.write(whole(requestId, 'ran')))
+  const gateway = await Gateway.start(t, [overCap, other])
+  const statuses: number[] = []
+  for (let index = 0; index < 10; index += 1) {
+    statuses.push((await gateway.call('/orders/1', { method: 'POST', body: 'x' })).status)
+  }
+  assert.deepEqual(new Set(statuses), new Set([200]))
+  assert.ok(overCap.connections() > 0)
+  assert.deepEqual(overCap.seen, [])
+})
+
 const large = 'x'.repeat(2 * maxBufferedBytes)
 const framings = [
   ['a length', [`Content-Length: ${String(2 * large.length)}`], large],
--- a/packages/gateway/src/endless-bytes.test.ts
+++ b/packages/gateway/src/endless-bytes.test.ts
@@ -87,6 +87,9 @@
 /** Bytes in a head that end the exchange: far more than any head that Node accepts, and what the sockets hold. */
 const headBoundBytes = 8 * 1024 * 1024
 
+/** What the sockets of both sides hold, several times over. */
+const unreadBoundBytes = 64 * 1024 * 1024
+
 const heads: readonly (readonly [name: string, start: string, piece: Buffer | string])[] = [
   ['a status line', 'HTTP/1.1 200 ', block],
   ['a header field', `${head}X-Long: `, block],
@@ -114,10 +117,11 @@
   const collected = result.body.reduce((sum, { length }) => sum + length, 0)
   assert.ok(collected <= maxBufferedBytes * 2, String(collected))
   // Nobody reads, so the target stops writing when the sockets are full.
-  await sleep(50)
-  const before = target.written()
-  await sleep(50)
-  assert.equal(target.written(), before)
+  for (let before = -1; before !== target.written();) {
+    before = target.written()
+    assert.ok(before < unreadBoundBytes, String(before))
+    await sleep(50)
+  }
   result.incoming.destroy()
   await target.closed
 })
--- a/packages/gateway/src/peer-reports.test.ts
+++ b/packages/gateway/src/peer-reports.test.ts
@@ -7,7 +7,7 @@
 import { configurationRow, targetRow } from '@pimentotally/platform/testing'
 import { Directory } from './directory.js'
 import { encodeLeader, ownKeys } from './own-rows.js'
-import { PeerReports } from './peer-reports.js'
+import { PeerReports, reportIntervalMs } from './peer-reports.js'
 
 interface Reporting {
   readonly reports: PeerReports
@@ -138,3 +138,10 @@
   assert.equal(keyLoad.sum(0, 65_535), 0)
   assert.deepEqual(speeds.factors(), {})
 })
+
+test('with many hosts each reports less often, and guidance still arrives within its lifetime', () => {
+  assert.equal(reportIntervalMs(10), reportIntervalMs(50))
+  assert.ok(reportIntervalMs(85) > reportIntervalMs(50))
+  // Over the first host of a domain to the leader.
+  assert.ok(2 * reportIntervalMs(2000) < 1800)
+})
--- a/packages/gateway/src/peer-reports.ts
+++ b/packages/gateway/src/peer-reports.ts
@@ -13,6 +13,10 @@
 
 /** A key that turns hot shows in the balance within a second. */
 const reportEveryMs = 350
+/** Hosts up to which each may report so often; the first host of a domain takes the reports of all others. */
+const hostsAtFullRate = 50
+/** Two reports on the way to the leader, and the guidance back, stay within the lifetime of the guidance. */
+const longestReportEveryMs = 700
 /** A report that is late is of no use. */
 const reportTimeoutMs = 450
 /** Guidance of a leader that was not heard of for this long no longer counts. */
@@ -107,6 +111,10 @@
   return mean
 }
 
+/** Load pattern: most hosts have a quarter of a core, and with their number each hears of fewer requests. */
+export const reportIntervalMs = (hosts: number): number =>
+  Math.min(longestReportEveryMs, reportEveryMs * Math.max(1, hosts / hostsAtFullRate))
+
 export class PeerReports {
   readonly #options: PeerReportsOptions
   readonly #counts = new Map<string, Map<number, number>>()
@@ -167,7 +175,7 @@
   async run(): Promise<void> {
     const { clock, sources, logger } = this.#options
     while (!this.#stopped) {
-      await clock.sleep(reportEveryMs)
+      await clock.sleep(reportIntervalMs(this.#options.directory.hostCount))
       const report = this.takeReport()
       if (this.#leads()) {
         this.#add(report)
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -28,8 +28,12 @@
 const maxAnswerBytes = 32 * 1024 * 1024
 /** Calls for several tables follow each other within a turn or two of the event loop. */
 const gatherMs = 2
-/** Share of the interval between two reads below which a read is left out. */
-const shortestReadShare = 0.25
+/** A host that starts reads its tables, over another host or from the store, in a part of this time. */
+const firstReadMs = 500
+/** Tables are confirmed together; one that is not confirmed with the others does not let their copies grow old. */
+const confirmationSpreadMs = 60
+/** Share of the interval between two reads below which a read is left out: timers end a little early or late. */
+const shortestReadShare = 0.05
 /** Keeps every byte, and text remains text, which compresses well. */
 const valueEncoding = 'latin1'
 /** The fastest one; the rows are much alike. */
@@ -99,7 +103,7 @@
 const isCurrent = (table: RelayedTable): boolean => !table.replica.isFailing && ageOf(table) <= table.maxAgeMs
 
 /**
- * Answers followers' calls for several tables at once. An answer waits for a change that is needed at once, or until all
+ * Answers followers' calls for several tables at once. An answer waits for a change that is needed at once, or until the
  * tables were confirmed: a copy that was just confirmed stays current at its followers for longest.
  */
 export class Relay {
@@ -122,6 +126,7 @@
       served.push({ ...table, name, after })
     }
     if (served.length === 0) return { status: 400 }
+    await this.#firstRead(served)
     if (!served.every(isCurrent)) return { status: 503 }
     if (!served.some(({ log, after }) => log.hasUrgentSince(after))) {
       await this.#changed(served, Number(query.get('waitMs')) || 0)
@@ -133,6 +138,27 @@
     return { status: 200, headers: { ...encoding, [ageHeader]: ages }, body }
   }
 
+  /** Hosts that start together need not all read the store. */
+  #firstRead(served: readonly Served[]): Promise<void> {
+    const unread = new Set(served.filter(({ replica }) => replica.ageMs() === undefined))
+    if (unread.size === 0) return Promise.resolve()
+    return new Promise((resolve) => {
+      const stops: (() => void)[] = []
+      const end = (): void => {
+        for (const stop of stops) stop()
+        resolve()
+      }
+      for (const table of unread) {
+        const read = (): void => {
+          unread.delete(table)
+          if (unread.size === 0) end()
+        }
+        stops.push(table.log.onChange(read), table.log.onConfirmed(read))
+      }
+      stops.push(this.#clock.schedule(firstReadMs, end))
+    })
+  }
+
   #changed(served: readonly Served[], longestMs: number): Promise<void> {
     // No longer than the copies stay current, if they are not confirmed any more.
     const waitMs = Math.min(longestMs, ...served.map((table) => table.maxAgeMs - ageOf(table) + 1))
@@ -146,6 +172,7 @@
       const unconfirmed = new Set(served)
       for (const table of served) {
         const confirmed = (): void => {
+          if (unconfirmed.size === served.length) stops.push(this.#clock.schedule(confirmationSpreadMs, end))
           unconfirmed.delete(table)
           if (unconfirmed.size === 0) end()
         }
@@ -371,7 +398,6 @@
   #untilNextReadMs(): number {
     const { clock, confirmedEveryMs } = this.#options
     const untilMs = confirmedEveryMs - (clock.monotonicMs() % confirmedEveryMs)
-    // Timers end a little early or late.
     return untilMs < confirmedEveryMs * shortestReadShare ? untilMs + confirmedEveryMs : untilMs
   }
 }
--- a/packages/gateway/src/replica.test.ts
+++ b/packages/gateway/src/replica.test.ts
@@ -278,6 +278,34 @@
   assert.equal(second.isAnswered, true)
 })
 
+test('a host that has not read a table yet answers its followers when it has', async () => {
+  const followed = follow()
+  const { store, time, log } = followed
+  store.write(table, 'a', Buffer.from('1'))
+  const pending = relayOf(followed).answer(queryFor(-1))
+  await time.advance(50)
+  assert.equal((await pending).status, 200)
+  assert.ok(log.version > 0)
+})
+
+test('a table that is not confirmed with the others does not hold back their confirmation', async () => {
+  const time = new VirtualTime()
+  const replica = { ageMs: () => 0, isFailing: false } as unknown as Replica
+  const logs = new Map(['a', 'b'].map((name) => [name, new ChangeLog()]))
+  for (const log of logs.values()) log.record({ changed: [], removed: [], version: 1 })
+  const tables = new Map([...logs].map(([name, log]) => [name, { log, replica, maxAgeMs: 1700 }]))
+  const query = new URLSearchParams({ waitMs: '1400' })
+  query.append('after', 'a:1')
+  query.append('after', 'b:1')
+  let isAnswered = false
+  void new Relay(tables, time.clock()).answer(query).then(() => (isAnswered = true))
+  await time.advance(10)
+  // The other table has just been read, because of a change that this host made.
+  logs.get('a')?.record({ changed: [], removed: [], version: 1 })
+  await time.advance(100)
+  assert.equal(isAnswered, true)
+})
+
 test('a host that reads the store itself reads a busy table at intervals, and at once after its own change', async () => {
   const time = new VirtualTime()
   const clock = time.clock()
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -8,6 +8,7 @@
 import {
   hedgeDelayMs,
   isIdempotent,
+  moveWaitMs,
   predictedMs,
   spreadRetryAfterMs,
   type Prediction,
@@ -26,13 +27,6 @@
 
 /** Failure domains are at most some milliseconds apart; a lost first packet is sent again only after a second. */
 const connectTimeoutMs = 400
-/**
- * A request waits for a moving key no longer than this share of its objective, so that most can still meet it; then it is
- * refused. Load pattern: hot neighbours are divided among many targets, and each release waits for the work under way.
- */
-const moveWaitShare = 0.45
-/** Stands for the objective of routes without one. */
-const defaultObjectiveMs = 1000
 /** The answer has to reach the caller before its deadline. */
 const answerMarginMs = 15
 /** For callers and routes that set no limit. */
@@ -45,6 +39,12 @@
 const maxSends = 3
 /** With less than this share of the work time left, another send would hardly end in time. */
 const minWorkShareLeft = 0.5
+/**
+ * A target that has all the connections it accepts resets a new one at once. A request that must not be repeated is
+ * written when the reset would have arrived, two ways between failure domains later. Load pattern: two hundred hosts share
+ * the connections of a target.
+ */
+const unsafeSettleMs = 4
 /** Longest idle time of a connection that carries a request which must not be repeated. */
 const unsafeIdleMs = 1500
 
@@ -157,9 +157,7 @@
     const { directory } = this.#options
     let selection = this.#select()
     if (!isMoving(selection)) return selection
-    const objectiveMs = this.#inbound.match.route.objectiveMs || defaultObjectiveMs
-    const waitMs = objectiveMs * moveWaitShare - this.#elapsedMs()
-    const untilMs = this.#nowMs() + waitMs
+    const untilMs = this.#nowMs() + moveWaitMs(this.#leftMs())
     while (isMoving(selection) && this.#nowMs() < untilMs) {
       await directory.assignmentChanged(Math.max(1, untilMs - this.#nowMs()))
       if (this.#finished) return undefined
@@ -209,6 +207,7 @@
       body,
       requestId,
       connectTimeoutMs: Math.min(connectTimeoutMs, Math.max(1, this.#leftMs())),
+      settleMs: this.#idempotent ? 0 : unsafeSettleMs,
       mayStart: () => !this.#finished,
       settled: (result) => {
         this.#attempts.delete(attempt)
--- a/packages/gateway/src/target-exchange.ts
+++ b/packages/gateway/src/target-exchange.ts
@@ -63,6 +63,8 @@
   readonly body: Buffer | undefined
   readonly requestId: string
   readonly connectTimeoutMs: number
+  /** How long a new connection must stand before the request is written. */
+  readonly settleMs?: number
   /** Asked once, when the connection is ready and nothing was written. */
   readonly mayStart: () => boolean
   /** Called exactly once, unless the exchange was cancelled. */
@@ -102,8 +104,8 @@
     }, options.connectTimeoutMs)
     this.#request.on('socket', (socket: Socket) => {
       this.#socket = socket
-      if (socket.connecting) socket.once('connect', () => this.#start())
-      else this.#start()
+      if (!socket.connecting) this.#start()
+      else socket.once('connect', () => this.#settleConnection(options.settleMs ?? 0))
     })
     this.#request.on('information', () => {
       this.#interimAnswers += 1
@@ -126,6 +128,17 @@
     if (this.#sent) this.#socket?.destroy()
   }
 
+  #settleConnection(settleMs: number): void {
+    if (settleMs === 0) {
+      this.#start()
+      return
+    }
+    clearTimeout(this.#connectTimer)
+    this.#connectTimer = setTimeout(() => {
+      this.#start()
+    }, settleMs)
+  }
+
   #start(): void {
     clearTimeout(this.#connectTimer)
     if (this.#settled) return
--- a/packages/gateway/src/target-selector.ts
+++ b/packages/gateway/src/target-selector.ts
@@ -7,6 +7,7 @@
   TargetState,
   admit,
   chooseTarget,
+  moveRetryAfterMs,
   predictedMs,
   type PlacementCandidate,
   type Prediction,
@@ -107,7 +108,12 @@
     const range = directory.range(service.name, key)
     if (range === undefined) return refuse('key_without_owner', defaultRetryAfterMs)
     const inputs = { target: range.owner, formerOwner: range.formerOwner, fence: range.fence }
-    if (range.formerOwner !== undefined) return refuse(RefusalReason.keyMoving, defaultRetryAfterMs, inputs)
+    if (range.formerOwner !== undefined)
+      return refuse(
+        RefusalReason.keyMoving,
+        moveRetryAfterMs(this.#options.routeWorkMs(request.match.route)),
+        inputs,
+      )
     const target = directory.target(range.owner)
     const nowMs = clock.monotonicMs()
     const usable =
@@ -116,7 +122,12 @@
       (target.state === TargetState.ready || nowMs - target.stateSinceMs < drainingOwnerMs)
     if (!usable) return refuse('owner_leaves', leavingRetryAfterMs, inputs)
     // Its keys are on their way, and this host has not learned yet where to.
-    if (request.disowned.has(target.id)) return refuse(RefusalReason.keyMoving, defaultRetryAfterMs, inputs)
+    if (request.disowned.has(target.id))
+      return refuse(
+        RefusalReason.keyMoving,
+        moveRetryAfterMs(this.#options.routeWorkMs(request.match.route)),
+        inputs,
+      )
     if (request.barred.has(target.id)) return refuse('owner_failed', overloadRetryAfterMs, inputs)
     const { pausedUntilMs, fullUntilMs, connectFailures } = targets.of(target.id)
     if (fullUntilMs > nowMs) return refuse('owner_full', overloadRetryAfterMs, inputs)
--- a/packages/gateway/src/testing-gateway.ts
+++ b/packages/gateway/src/testing-gateway.ts
@@ -61,16 +61,21 @@
   return { id, seen, address: `127.0.0.1:${String((server.address() as AddressInfo).port)}` }
 }
 
-/** A target that writes bytes of its own choice: `respond` gets the id of each request and the number of those before it. */
+/**
+ * A target that writes bytes of its own choice: `respond` gets the id of each request and the number of those before it,
+ * `accepted` each new connection.
+ */
 export const startRawTarget = async (
   t: TestContext,
   id: string,
   respond: (socket: Socket, requestId: string, index: number) => void,
+  accepted: (socket: Socket) => void = () => undefined,
 ): Promise<TestTarget & { readonly connections: () => number }> => {
   const seen: string[] = []
   const sockets = new Set<Socket>()
   const server = createTcpServer((socket) => {
     sockets.add(socket)
+    accepted(socket)
     let text = ''
     socket.on('error', () => undefined)
     socket.on('data', (chunk) => {
