Answer peers' requests whose path is no URL, and errors of handlers, instead of leaving them open

Cause: a new test sends malformed messages to every port of a real process. A path such as // made new URL throw outside the promise of the peer's handler: the process went on (the error was logged as uncaught), but the connection stayed open without an answer. Errors thrown by a status page had the same way out.

Ruled out by the same test: rows of the register, of the operator and of this project's own table that cannot be read, reports and queries of the relay that are malformed, heads over the limit, two framings in one request.

Change: the peer server answers 400, and both servers run their handlers inside a promise.

--- a/packages/gateway/src/peer-server.ts
+++ b/packages/gateway/src/peer-server.ts
@@ -1,5 +1,5 @@
 /** The listener for other hosts of this project; all calls carry JSON and are small. */
-import { createServer, type Server } from 'node:http'
+import { createServer, type IncomingMessage, type Server } from 'node:http'
 import type { Logger } from '@pimentotally/core'
 import { listenOn } from '@pimentotally/http'
 
@@ -11,14 +11,18 @@
 
 export type PeerHandler = (query: URLSearchParams, body: string) => PeerAnswer | Promise<PeerAnswer>
 
+/** Completes the path of a request to a URL. */
+const base = 'http://peer'
 /** Far above a report of the largest deployment. */
 const maxBodyBytes = 1024 * 1024
 
 export class PeerServer {
+  readonly #handlers: ReadonlyMap<string, PeerHandler>
   readonly #server: Server
 
   /** Handlers by method and path, for example `GET /changes`. */
   constructor(handlers: ReadonlyMap<string, PeerHandler>, logger: Logger) {
+    this.#handlers = handlers
     this.#server = createServer({ keepAliveTimeout: 30_000 }, (request, response) => {
       const chunks: Buffer[] = []
       let bytes = 0
@@ -30,16 +34,13 @@
         else chunks.push(chunk)
       })
       request.on('end', () => {
-        const url = new URL(request.url ?? '/', 'http://peer')
-        const handler = handlers.get(`${request.method ?? ''} ${url.pathname}`)
-        const answer = handler?.(url.searchParams, Buffer.concat(chunks).toString('utf8')) ?? { status: 404 }
-        Promise.resolve(answer).then(
+        this.#answer(request, Buffer.concat(chunks).toString('utf8')).then(
           ({ status, headers, body }) => {
             if (!response.destroyed)
               response.writeHead(status, { 'content-type': 'application/json', ...headers }).end(body)
           },
           (error: unknown) => {
-            logger.error('peer.handler_failed', { path: url.pathname, error })
+            logger.error('peer.handler_failed', { path: request.url, error })
             response.destroy()
           },
         )
@@ -47,6 +48,12 @@
     })
   }
 
+  async #answer({ method = '', url = '/' }: IncomingMessage, body: string): Promise<PeerAnswer> {
+    if (!URL.canParse(url, base)) return { status: 400 }
+    const { pathname, searchParams } = new URL(url, base)
+    return (await this.#handlers.get(`${method} ${pathname}`)?.(searchParams, body)) ?? { status: 404 }
+  }
+
   listen(host: string, port: number): Promise<void> {
     return listenOn(this.#server, { host, port })
   }
--- a/packages/gateway/src/status-server.ts
+++ b/packages/gateway/src/status-server.ts
@@ -18,7 +18,8 @@
         response.writeHead(404).end()
         return
       }
-      Promise.resolve(read()).then(
+      const page = async (): Promise<StatusPage> => read()
+      page().then(
         ({ status, body }) => {
           response.writeHead(status, { 'content-type': 'text/plain' }).end(body)
         },
--- a/packages/standins/src/gateway-cluster.ts
+++ b/packages/standins/src/gateway-cluster.ts
@@ -60,6 +60,8 @@
   readonly settingsPath: string
   readonly port: number
   readonly readyPort: number
+  /** All ports that the process listens on. */
+  readonly ports: readonly number[]
 }
 
 export class GatewayProcess {
@@ -238,7 +240,8 @@
   }
 
   async #startHost(name: string, storeAddress: string): Promise<void> {
-    const [port = 0, readyPort = 0, peerPort = 0, metricsPort = 0] = await freePorts(4)
+    const ports = await freePorts(4)
+    const [port = 0, readyPort = 0, peerPort = 0, metricsPort = 0] = ports
     const settingsPath = join(this.#folder, `${name}.toml`)
     const settings = settingsDocument({
       hostName: name,
@@ -252,6 +255,6 @@
       heartbeatMs,
     })
     writeFileSync(settingsPath, settings)
-    this.hosts.push(new GatewayProcess({ name, settingsPath, port, readyPort }))
+    this.hosts.push(new GatewayProcess({ name, settingsPath, port, readyPort, ports }))
   }
 }
--- a/packages/standins/src/gateway-process.test.ts
+++ b/packages/standins/src/gateway-process.test.ts
@@ -1,8 +1,9 @@
 /** The daemons of the users' platform as real processes, against a stand-in store and targets. */
 import assert from 'node:assert/strict'
 import { Agent, request as httpRequest } from 'node:http'
+import { connect } from 'node:net'
 import { test } from 'node:test'
-import { PlatformStore } from '@pimentotally/platform'
+import { PlatformStore, storeTables } from '@pimentotally/platform'
 import { RowStoreServer, StoreFault, callerHeaders } from '@pimentotally/platform/testing'
 import { GatewayCluster, type GatewayProcess } from './gateway-cluster.js'
 
@@ -123,6 +124,62 @@
   assertPromises(cluster, answers)
 })
 
+/** Sends bytes and resolves when the peer has closed the connection, or has answered and gone quiet for a moment. */
+const sendBytes = (port: number, bytes: string | Buffer): Promise<void> =>
+  new Promise((resolve) => {
+    const socket = connect(port, '127.0.0.1', () => {
+      socket.end(bytes)
+    })
+    socket.on('error', () => undefined)
+    socket.on('data', () => undefined)
+    socket.once('close', () => {
+      resolve()
+    })
+    socket.setTimeout(500, () => socket.destroy())
+  })
+
+const post = (path: string, body: string): string =>
+  `POST ${path} HTTP/1.1\r\nHost: h\r\nContent-Length: ${String(Buffer.byteLength(body))}\r\n\r\n${body}`
+
+const garbage: readonly (string | Buffer)[] = [
+  Buffer.from(Array.from({ length: 2000 }, (_, index) => (index * 7919) % 256)),
+  'GET / HTTP/1.1\r\n\r\n',
+  'GET // HTTP/9.9\r\nHost: \u0000\r\n\r\n',
+  'GET http://[::1 HTTP/1.1\r\nHost: h\r\n\r\n',
+  `GET / HTTP/1.1\r\nHost: h\r\nX-Long: ${'x'.repeat(100_000)}\r\n\r\n`,
+  'POST /load HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n',
+  'GET /changes?after=servers:x&waitMs=1e99 HTTP/1.1\r\nHost: h\r\n\r\n',
+  'GET /changes?after=&after=%00:-1 HTTP/1.1\r\nHost: h\r\n\r\n',
+  'GET /changes HTTP/1.1\r\nHost: h\r\n\r\n',
+  ...['', 'null', '[]', '{}', '{"keys":{"notes":[[1e99,"x"]]}}', '['.repeat(20_000)].map((body) =>
+    post('/load', body),
+  ),
+]
+
+const brokenRows = [Buffer.alloc(0), Buffer.from([0xff, 0xfe, 0]), Buffer.from('null'), Buffer.from('[{}]')]
+
+test('malformed messages on every port and rows that cannot be read end no process', async (t) => {
+  const cluster = await GatewayCluster.start({ hosts: 1 })
+  t.after(() => cluster.stop())
+  const host = hostAt(cluster, 0)
+  for (const port of host.options.ports) for (const bytes of garbage) await sendBytes(port, bytes)
+  for (const [index, value] of brokenRows.entries()) {
+    const name = String(index)
+    cluster.store.store.write(storeTables.register, `broken-${name}`, value)
+    cluster.store.store.write(storeTables.operator, `evacuate/${name}`, value)
+    cluster.store.store.write(storeTables.operator, `broken-${name}`, value)
+    cluster.store.store.write(storeTables.own, `host/broken-${name}`, value)
+    cluster.store.store.write(storeTables.own, `assignment/notes/${name}/broken`, value)
+  }
+  await cluster.until(() => host.lines.filter((line) => line.includes('row.malformed')).length >= 4)
+  assert.equal(host.isRunning, true)
+  assert.equal((await call(host, '/orders/1')).status, 200)
+  assert.deepEqual(
+    host.lines.filter((line) => line.includes('process.uncaught') || line.includes('unhandled')),
+    [],
+  )
+})
+
 test('the keys of a killed leader’s targets are served on by another host', async (t) => {
   const cluster = await GatewayCluster.start({ hosts: 3 })
   t.after(() => cluster.stop())
