--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -30,8 +30,11 @@
 const gatherMs = 2
 /** A host that starts reads its tables, over another host or from the store, in a part of this time. */
 const firstReadMs = 500
-/** Tables are confirmed together; one that is not confirmed with the others does not let their copies grow old. */
-const confirmationSpreadMs = 60
+/**
+ * Tables are read together, so an answer waits this long for the others after the first was confirmed or has changed;
+ * without their confirmation, their copies would grow old at the followers until the next read.
+ */
+const confirmationSpreadMs = 15
 /** Share of the interval between two reads below which a read is left out: timers end a little early or late. */
 const shortestReadShare = 0.05
 /** Keeps every byte, and text remains text, which compresses well. */
@@ -176,7 +179,7 @@
           unconfirmed.delete(table)
           if (unconfirmed.size === 0) end()
         }
-        stops.push(table.log.onChange(end), table.log.onConfirmed(confirmed))
+        stops.push(table.log.onChange(confirmed), table.log.onConfirmed(confirmed))
       }
       stops.push(this.#clock.schedule(waitMs, end))
     })
--- a/packages/gateway/src/replica.test.ts
+++ b/packages/gateway/src/replica.test.ts
@@ -255,11 +255,11 @@
     new Map([...logs].map(([name, log]) => [name, { log, replica, maxAgeMs: 1000 }])),
     time.clock(),
   )
-  const ask = (): { isAnswered: boolean } => {
+  const ask = (after = 1): { isAnswered: boolean } => {
     const state = { isAnswered: false }
     const query = new URLSearchParams({ waitMs: '900' })
     query.append('after', 'a:1')
-    query.append('after', 'b:1')
+    query.append('after', `b:${String(after)}`)
     void relay.answer(query).then(() => (state.isAnswered = true))
     return state
   }
@@ -275,7 +275,14 @@
   assert.equal(first.isAnswered, true)
   const second = ask()
   await record('b', [{ key: 'k', version: 2, value: Buffer.from('') }])
+  // The other table may be confirmed a moment later, and would grow old otherwise.
+  await record('a')
   assert.equal(second.isAnswered, true)
+  const third = ask(2)
+  await record('b', [{ key: 'k', version: 3, value: Buffer.from('') }])
+  assert.equal(third.isAnswered, false)
+  await time.advance(30)
+  assert.equal(third.isAnswered, true)
 })
 
 test('a host that has not read a table yet answers its followers when it has', async () => {
