Ask before the rows are recorded in the test of answers for several tables

The test recorded a change before the relay had begun to wait, so the relay answered at once, as it should; the product was right and the test's order was not. The same assertions hold, after a turn of the event loop.

--- a/packages/gateway/src/replica.test.ts
+++ b/packages/gateway/src/replica.test.ts
@@ -255,30 +255,31 @@
     new Map([...logs].map(([name, log]) => [name, { log, replica, maxAgeMs: 1000 }])),
     time.clock(),
   )
-  const ask = (after = 1): { isAnswered: boolean } => {
+  const ask = async (after = 1): Promise<{ isAnswered: boolean }> => {
     const state = { isAnswered: false }
     const query = new URLSearchParams({ waitMs: '900' })
     query.append('after', 'a:1')
     query.append('after', `b:${String(after)}`)
     void relay.answer(query).then(() => (state.isAnswered = true))
+    await time.advance(1)
     return state
   }
   const record = async (name: string, changed: { key: string; version: number; value: Buffer }[] = []) => {
     logs.get(name)?.record({ changed, removed: [], version: changed[0]?.version ?? 1 })
     await time.advance(1)
   }
-  const first = ask()
+  const first = await ask()
   await record('a')
   await record('a')
   assert.equal(first.isAnswered, false)
   await record('b')
   assert.equal(first.isAnswered, true)
-  const second = ask()
+  const second = await ask()
   await record('b', [{ key: 'k', version: 2, value: Buffer.from('') }])
   // The other table may be confirmed a moment later, and would grow old otherwise.
   await record('a')
   assert.equal(second.isAnswered, true)
-  const third = ask(2)
+  const third = await ask(2)
   await record('b', [{ key: 'k', version: 3, value: Buffer.from('') }])
   assert.equal(third.isAnswered, false)
   await time.advance(30)
