--- a/packages/gateway/src/endless-bytes.test.ts
+++ b/packages/gateway/src/endless-bytes.test.ts
@@ -6,10 +6,9 @@
 import { createServer, type AddressInfo, type Socket } from 'node:net'
 import { test, type TestContext } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
-import { TargetAgent } from '@pimentotally/http'
 import { TargetCalls } from '@pimentotally/platform'
-import { answerHeaders, callerHeaders } from '@pimentotally/platform/testing'
-import { TargetExchange, maxBufferedBytes, type ExchangeResult } from './target-exchange.js'
+import { maxBufferedBytes } from './target-exchange.js'
+import { exchangeRequestId, rawHead, startExchange } from './testing-gateway.js'
 
 const block = Buffer.alloc(16 * 1024, 'x')
 
@@ -55,34 +54,7 @@
   }
 }
 
-const requestId = 'r-1'
-
-const exchange = (t: TestContext, address: string): Promise<ExchangeResult> => {
-  const agent = new TargetAgent({ connections: 1, idleTimeoutMs: 1000, onClosed: () => undefined })
-  t.after(() => {
-    agent.destroy()
-  })
-  return new Promise((resolve) => {
-    new TargetExchange({
-      agent,
-      address,
-      method: 'GET',
-      path: '/',
-      headers: ['Host', 'h', ...Object.entries(callerHeaders({ requestId })).flat()],
-      body: undefined,
-      requestId,
-      connectTimeoutMs: 5000,
-      mayStart: () => true,
-      settled: resolve,
-    })
-  })
-}
-
-const head = [
-  'HTTP/1.1 200 OK',
-  ...Object.entries(answerHeaders(requestId)).map(([name, value]) => `${name}: ${value}`),
-  '',
-].join('\r\n')
+const head = rawHead(exchangeRequestId, [])
 
 /** Bytes in a head that end the exchange: far more than any head that Node accepts, and what the sockets hold. */
 const headBoundBytes = 8 * 1024 * 1024
@@ -103,7 +75,7 @@
 for (const [name, start, piece] of heads) {
   test(`${name} without end: the request is lost and the connection closed`, async (t) => {
     const target = await endless(t, start, piece)
-    const result = await exchange(t, target.address)
+    const result = await startExchange(t, target.address)
     assert.equal(result.kind, 'lost')
     await target.closed
     assert.ok(target.written() < headBoundBytes, String(target.written()))
@@ -112,7 +84,7 @@
 
 test('a body without a length that does not end is passed on while it arrives, not collected', async (t) => {
   const target = await endless(t, `${head}Connection: close\r\n\r\n`, block)
-  const result = await exchange(t, target.address)
+  const result = await startExchange(t, target.address)
   assert.ok(result.kind === 'response' && !result.complete)
   const collected = result.body.reduce((sum, { length }) => sum + length, 0)
   assert.ok(collected <= maxBufferedBytes * 2, String(collected))
--- a/packages/gateway/src/target-exchange.test.ts
+++ b/packages/gateway/src/target-exchange.test.ts
@@ -2,11 +2,7 @@
 import assert from 'node:assert/strict'
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import { test, type TestContext } from 'node:test'
-import { TargetAgent } from '@pimentotally/http'
-import { answerHeaders, callerHeaders } from '@pimentotally/platform/testing'
-import { TargetExchange, type ExchangeResult } from './target-exchange.js'
-
-const requestId = 'r-1'
+import { exchangeRequestId, rawHead, startExchange } from './testing-gateway.js'
 
 const listen = async (t: TestContext, answer: (socket: Socket) => void): Promise<string> => {
   const sockets = new Set<Socket>()
@@ -25,41 +21,15 @@
   return `127.0.0.1:${String((server.address() as AddressInfo).port)}`
 }
 
-const exchange = (t: TestContext, address: string): Promise<ExchangeResult> => {
-  const agent = new TargetAgent({ connections: 1, idleTimeoutMs: 1000, onClosed: () => undefined })
-  t.after(() => {
-    agent.destroy()
-  })
-  return new Promise((resolve) => {
-    new TargetExchange({
-      agent,
-      address,
-      method: 'GET',
-      path: '/',
-      headers: ['Host', 'h', ...Object.entries(callerHeaders({ requestId })).flat()],
-      body: undefined,
-      requestId,
-      connectTimeoutMs: 5000,
-      mayStart: () => true,
-      settled: resolve,
-    })
-  })
-}
-
-const headFor = (id: string): string =>
-  [
-    'HTTP/1.1 200 OK',
-    ...Object.entries(answerHeaders(id)).map(([name, value]) => `${name}: ${value}`),
-    '',
-  ].join('\r\n')
+const headFor = (id: string): string => rawHead(id, [])
 
-const head = headFor(requestId)
+const head = headFor(exchangeRequestId)
 
 test('a body without a length that ends with its connection is complete', async (t) => {
   const address = await listen(t, (socket) => {
     socket.end(`${head}Connection: close\r\n\r\nwhole`)
   })
-  const result = await exchange(t, address)
+  const result = await startExchange(t, address)
   assert.equal(result.kind, 'response')
   assert.equal(result.kind === 'response' && Buffer.concat(result.body).toString(), 'whole')
 })
@@ -70,7 +40,7 @@
       setTimeout(() => socket.resetAndDestroy(), 20)
     })
   })
-  const result = await exchange(t, address)
+  const result = await startExchange(t, address)
   assert.equal(result.kind, 'lost')
 })
 
@@ -79,7 +49,7 @@
     socket.write(`${head}Connection: close\r\n\r\npart`)
     socket.resetAndDestroy()
   })
-  const result = await exchange(t, address)
+  const result = await startExchange(t, address)
   assert.equal(result.kind, 'lost')
 })
 
@@ -87,7 +57,7 @@
   const address = await listen(t, (socket) => {
     socket.end(`${head}Content-Length: 10\r\n\r\npart`)
   })
-  const result = await exchange(t, address)
+  const result = await startExchange(t, address)
   assert.equal(result.kind, 'lost')
 })
 
@@ -95,7 +65,7 @@
   const address = await listen(t, (socket) => {
     socket.end(`${headFor('r-0')}Content-Length: 2\r\n\r\nok`)
   })
-  const result = await exchange(t, address)
+  const result = await startExchange(t, address)
   assert.equal(result.kind === 'lost' && result.reason, 'crossed')
 })
 
@@ -103,11 +73,11 @@
   const address = await listen(t, (socket) => {
     socket.end('garbage\r\n\r\n')
   })
-  const result = await exchange(t, address)
+  const result = await startExchange(t, address)
   assert.equal(result.kind === 'lost' && result.reason, 'malformed')
 })
 
 test('a refused connection certainly did not run the request', async (t) => {
-  const result = await exchange(t, '127.0.0.1:1')
+  const result = await startExchange(t, '127.0.0.1:1')
   assert.equal(result.kind, 'not_sent')
 })
--- a/packages/gateway/src/testing-gateway.ts
+++ b/packages/gateway/src/testing-gateway.ts
@@ -9,6 +9,7 @@
 import { createServer as createTcpServer, type AddressInfo, type Socket } from 'node:net'
 import type { TestContext } from 'node:test'
 import { Random, SilentLogger, SystemClock } from '@pimentotally/core'
+import { TargetAgent } from '@pimentotally/http'
 import { blockCount, encodeBlock, initialAssignment } from '@pimentotally/assignment'
 import {
   answerHeaders,
@@ -23,6 +24,7 @@
 import { Dispatcher } from './dispatcher.js'
 import { GatewayMetrics } from './metrics.js'
 import { ownKeys } from './own-rows.js'
+import { TargetExchange, type ExchangeResult } from './target-exchange.js'
 import { TargetTable } from './target-table.js'
 import { freePort } from './testing.js'
 
@@ -107,6 +109,31 @@
     '',
   ].join('\r\n')
 
+export const exchangeRequestId = 'r-1'
+
+/** Sends one request with the id `exchangeRequestId` on a connection of its own. */
+export const startExchange = (t: TestContext, address: string): Promise<ExchangeResult> => {
+  const agent = new TargetAgent({ connections: 1, idleTimeoutMs: 1000, onClosed: () => undefined })
+  t.after(() => {
+    agent.destroy()
+  })
+  const requestId = exchangeRequestId
+  return new Promise((resolve) => {
+    new TargetExchange({
+      agent,
+      address,
+      method: 'GET',
+      path: '/',
+      headers: ['Host', 'h', ...Object.entries(callerHeaders({ requestId })).flat()],
+      body: undefined,
+      requestId,
+      connectTimeoutMs: 5000,
+      mayStart: () => true,
+      settled: resolve,
+    })
+  })
+}
+
 export interface Answer {
   readonly status: number
   readonly headers: IncomingMessage['headers']
