Choose ports of test daemons outside the range of outgoing connections; end a cluster that does not start

The cluster took ports that were free a moment before from the range from which outgoing connections take theirs. As the start had failed, nothing ended the other daemons, and the test's process stayed.

Ruled out: a broken promise of the daemons; the two that ran were healthy.

Change: ports between 12,000 and 31,999, checked by listening; a cluster that does not start ends what it has started.

--- a/packages/standins/src/gateway-cluster.ts
+++ b/packages/standins/src/gateway-cluster.ts
@@ -4,7 +4,7 @@
  */
 import { spawn, type ChildProcess } from 'node:child_process'
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
-import { createServer, type AddressInfo } from 'node:net'
+import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
@@ -24,13 +24,34 @@
 /** Lines of a process that an error quotes. */
 const describedLines = 12
 
+/**
+ * Below the range from which Linux takes the ports of outgoing connections: a port that is free when it is chosen would
+ * be taken by one of them before the daemon listens on it.
+ */
+const portRange = { first: 12_000, last: 31_999 } as const
+
+const isFree = (port: number): Promise<boolean> =>
+  new Promise((resolve) => {
+    const server = createServer()
+      .once('error', () => {
+        resolve(false)
+      })
+      .listen(port, '127.0.0.1', () => {
+        server.close(() => {
+          resolve(true)
+        })
+      })
+  })
+
+/** Ports that no other cluster of this process was given; other processes begin at another port. */
+let nextPort = portRange.first + Math.floor(Math.random() * (portRange.last - portRange.first))
+
 const freePorts = async (count: number): Promise<number[]> => {
-  const servers = Array.from({ length: count }, () => createServer())
-  for (const server of servers) {
-    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  const ports: number[] = []
+  while (ports.length < count) {
+    nextPort = nextPort >= portRange.last ? portRange.first : nextPort + 1
+    if (await isFree(nextPort)) ports.push(nextPort)
   }
-  const ports = servers.map((server) => (server.address() as AddressInfo).port)
-  for (const server of servers) await new Promise((resolve) => server.close(resolve))
   return ports
 }
 
@@ -169,14 +190,20 @@
     const cluster = new GatewayCluster(store, await start('notes', true), await start('orders', false))
     for (const each of cluster.targets) cluster.#addresses.set(each, await forward(each.address))
     cluster.#register()
-    const storeAddress = await forward(store.address)
-    for (let index = 0; index < hosts; index += 1) {
-      await cluster.#startHost(`host-${String(index)}`, storeAddress)
+    try {
+      const storeAddress = await forward(store.address)
+      for (let index = 0; index < hosts; index += 1) {
+        await cluster.#startHost(`host-${String(index)}`, storeAddress)
+      }
+      await cluster.until(async () =>
+        (await Promise.all(cluster.hosts.map((host) => host.isReady()))).every(Boolean),
+      )
+      await cluster.until(() => cluster.areKeysHeld())
+    } catch (error) {
+      // Processes that were started would keep the one that started them from ending.
+      await cluster.stop()
+      throw error
     }
-    await cluster.until(async () =>
-      (await Promise.all(cluster.hosts.map((host) => host.isReady()))).every(Boolean),
-    )
-    await cluster.until(() => cluster.areKeysHeld())
     return cluster
   }
 
