Draw the first port of a test cluster from the project's random numbers; give fake targets a file

Ruled out: moving product code.

Change: Random picks where the search for free ports begins; FakeTarget and its holds move to testing-target.ts unchanged.

--- a/packages/gateway/src/testing-world.ts
+++ b/packages/gateway/src/testing-world.ts
@@ -33,6 +33,7 @@
 import { KeyControl } from './key-control.js'
 import { Leadership } from './leadership.js'
 import { Replica } from './replica.js'
+import { FakeTarget, slowClock } from './testing-target.js'
 
 export const service = 'notes'
 const networkMs = 2
@@ -40,8 +41,6 @@
 const maxHoldMs = 10_000
 /** Grants that arrive this soon after their sender was paused don't count for the promises. */
 const thawSlackMs = 300
-/** A target's clock may run this much slow. */
-const slowClock = 1.02
 
 /** The store of all hosts, with the time that calls take. */
 export class WorldStore extends MemoryRowStore {
@@ -133,79 +132,6 @@
 
 const away = (step: string): StoreError => ({ code: 'unavailable', step, message: 'status 503' })
 
-interface Hold extends KeyRange {
-  readonly fence: number
-  readonly untilMs: number
-}
-
-/** A target as the promises describe it: holds by range, fences, grants that may be applied late. */
-export class FakeTarget {
-  readonly address: string
-  id: string
-  born: number
-  sequence = 1
-  isUp = true
-  isSilent = false
-  /** Share of orders that get no response and are carried out seconds later. */
-  lateShare = 0
-  /** While one runs, a release waits. */
-  workMs = 80
-  holds: Hold[] = []
-  highestFence: { readonly range: KeyRange; readonly fence: number }[] = []
-
-  constructor(id: string, index: number) {
-    this.id = id
-    this.address = `10.0.0.${String(index + 1)}:8000`
-    this.born = 1000
-  }
-
-  holdsKey(key: number, nowMs: number): boolean {
-    return (
-      this.isUp && this.holds.some(({ from, to, untilMs }) => from <= key && key <= to && untilMs > nowMs)
-    )
-  }
-
-  seenFence(range: KeyRange): number {
-    return this.highestFence
-      .filter((seen) => seen.range.from <= range.to && range.from <= seen.range.to)
-      .reduce((highest, { fence }) => Math.max(highest, fence), 0)
-  }
-
-  apply({ from, to, fence, holdMs }: GrantCall, arrivedAtMs: number): GrantOutcome {
-    if (fence < this.seenFence({ from, to })) return GrantOutcome.fenced
-    this.highestFence.push({ range: { from, to }, fence })
-    this.holds = [
-      ...subtract(this.holds, { from, to }),
-      { from, to, fence, untilMs: arrivedAtMs + holdMs * slowClock },
-    ]
-    return GrantOutcome.granted
-  }
-
-  release({ from, to, fence }: ReleaseCall): void {
-    this.highestFence.push({ range: { from, to }, fence })
-    this.holds = subtract(this.holds, { from, to })
-  }
-
-  restart(id: string, born: number): void {
-    this.id = id
-    this.born = born
-    this.sequence = 1
-    this.holds = []
-    this.highestFence = []
-    this.isUp = true
-    this.isSilent = false
-  }
-}
-
-const subtract = (holds: readonly Hold[], range: KeyRange): Hold[] =>
-  holds.flatMap((hold) => {
-    if (hold.to < range.from || hold.from > range.to) return [hold]
-    const parts: Hold[] = []
-    if (hold.from < range.from) parts.push({ ...hold, to: range.from - 1 })
-    if (hold.to > range.to) parts.push({ ...hold, from: range.to + 1 })
-    return parts
-  })
-
 export class WorldHost {
   readonly clock: VirtualClock
   readonly store: StoreView
--- a/packages/standins/src/gateway-cluster.ts
+++ b/packages/standins/src/gateway-cluster.ts
@@ -8,6 +8,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
+import { Random } from '@pimentotally/core'
 import { configurationKey, settingsVariable, storeTables } from '@pimentotally/platform'
 import {
   KeyTargetServer,
@@ -44,7 +45,7 @@
   })
 
 /** Ports that no other cluster of this process was given; other processes begin at another port. */
-let nextPort = portRange.first + Math.floor(Math.random() * (portRange.last - portRange.first))
+let nextPort = portRange.first + new Random().integer(portRange.last - portRange.first)
 
 const freePorts = async (count: number): Promise<number[]> => {
   const ports: number[] = []
