--- a/packages/gateway/src/former-owners.ts
+++ b/packages/gateway/src/former-owners.ts
@@ -12,6 +12,19 @@
 /** Between two probes of an owner that left the register. */
 const probePauseMs = 500
 
+/** What proves that a target holds none of a range's keys. */
+export const HoldEnd = {
+  /** The target gave them up. */
+  released: 'released',
+  /** Every grant that was sent to it has lapsed. */
+  lapsed: 'lapsed',
+  /** A later process runs at its address. */
+  processEnded: 'process_ended',
+  /** The range goes to a new process of the same target, which began without keys. */
+  newLife: 'new_life',
+} as const
+export type HoldEnd = (typeof HoldEnd)[keyof typeof HoldEnd]
+
 export interface FormerOwnersOptions {
   readonly service: string
   readonly clock: Clock
@@ -54,18 +67,18 @@
   }
 
   /**
-   * Whether the target cannot hold any of the service's keys. One that is in the register may have taken a grant in a new
-   * life already; it answers a release.
+   * Why the target cannot hold any of the service's keys; undefined while it may. One that is in the register may have
+   * taken a grant in a new life already; it answers a release.
    */
-  holdsNothing(id: string): boolean {
+  holdEnd(id: string): HoldEnd | undefined {
     const { directory, clock, grants } = this.#options
-    if (clock.monotonicMs() >= grants.lapsesAtMs(id)) return true
+    if (clock.monotonicMs() >= grants.lapsesAtMs(id)) return HoldEnd.lapsed
     const seen = this.#find(id)
-    return (
+    const hasEnded =
       seen !== undefined &&
       directory.target(id) === undefined &&
       directory.isCertainlyGone(id, seen.address, seen.startedAtEpochMs)
-    )
+    return hasEnded ? HoldEnd.processEnded : undefined
   }
 
   /**
@@ -90,7 +103,7 @@
 
   #isPinned(owner: string): boolean {
     const { directory, clock, service } = this.#options
-    if (directory.target(owner)?.service === service || this.holdsNothing(owner)) return false
+    if (directory.target(owner)?.service === service || this.holdEnd(owner) !== undefined) return false
     const address = this.addressOf(owner)
     if (address === undefined) return true
     const vanished = this.#vanished.get(owner) ?? {
--- a/packages/gateway/src/key-control.ts
+++ b/packages/gateway/src/key-control.ts
@@ -96,6 +96,7 @@
     }
     for (const row of read.value.rows) directory.applyOwnRow(row)
     this.#term = tenure.term
+    logger.info('keys.begun', { ...tenure, version: read.value.version })
     return !this.#stopped
   }
 
--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -181,6 +181,8 @@
     const sentAt = this.#reading()
     const record = { ...this.#record, renewal: this.#record.renewal + 1 }
     if (await this.#write(record, this.#rowVersion)) {
+      const endedMs = -(this.#lease?.remainingMs(this.#reading()) ?? 0)
+      if (endedMs > 0) this.#options.logger.info('leader.renewed_late', { term: record.term, endedMs })
       this.#lease?.renewed(sentAt)
       this.#lastRenewalMs = sentAt.monotonicMs
     } else {
--- a/packages/gateway/src/range-moves.ts
+++ b/packages/gateway/src/range-moves.ts
@@ -5,7 +5,7 @@
 import type { Clock, Logger } from '@pimentotally/core'
 import type { AssignedRange, TargetControl } from '@pimentotally/assignment'
 import type { Directory } from './directory.js'
-import type { FormerOwners } from './former-owners.js'
+import { HoldEnd, type FormerOwners } from './former-owners.js'
 import type { TargetGrants } from './target-grants.js'
 
 /** A release is answered when the work on its keys has ended. */
@@ -37,8 +37,9 @@
 /** Fences rise within a block of keys only. */
 const nameOf = ({ from, fence }: AssignedRange): string => `${String(from)}/${String(fence)}`
 
-/** What the former owner left behind. */
+/** Why a former owner does not hold a range any more, and what it left behind. */
 interface Freed {
+  readonly end: HoldEnd
   readonly handover: string | undefined
 }
 
@@ -97,6 +98,7 @@
       fence,
       owner,
       formerOwner,
+      freedBy: freed.end,
       handover: freed.handover !== undefined,
       freeAfterMs: freeMs - startedMs,
       tookMs: clock.monotonicMs() - startedMs,
@@ -110,8 +112,8 @@
     const { from, to, fence } = range
     for (let attempt = 0; ; attempt += 1) {
       if (!grants.mayGrant) return undefined
-      // A new process of the same target holds nothing.
-      if (formerOwner === range.owner || owners.holdsNothing(formerOwner)) return { handover: undefined }
+      const end = formerOwner === range.owner ? HoldEnd.newLife : owners.holdEnd(formerOwner)
+      if (end !== undefined) return { end, handover: undefined }
       const address = owners.addressOf(formerOwner)
       if (address !== undefined) {
         const released = await calls.release(
@@ -119,7 +121,9 @@
           { from, to, fence, timeoutMs: releaseTimeoutMs },
         )
         // The release carries the new fence, so the target refuses grants that are still on their way.
-        if (released.isOk && released.value.released) return { handover: released.value.handover }
+        if (released.isOk && released.value.released) {
+          return { end: HoldEnd.released, handover: released.value.handover }
+        }
         if (attempt === 0) {
           const lapsesInMs = grants.lapsesAtMs(formerOwner) - clock.monotonicMs()
           const error = released.isErr ? released.error : { message: 'refused' }
