--- a/packages/gateway/src/ownership.test.ts
+++ b/packages/gateway/src/ownership.test.ts
@@ -119,6 +119,39 @@
   assertOwned(world)
 })
 
+test('keys stay with their owner when a move is stored while the leader’s lease has ended and is renewed late', async () => {
+  let lateRenewals = 0
+  // Whether the move is stored between the end of the lease and its renewal depends on when the target leaves.
+  for (let leavesAfterMs = 0; leavesAfterMs < 2000; leavesAfterMs += 100) {
+    const world = await settle(14)
+    // No grant of the settling lasts any more.
+    await world.advance(6000)
+    const leader = world.leader()
+    const [target] = world.targets
+    assert.ok(leader && target)
+    const term = leader.leadership.tenure?.term
+    world.time.schedule(leavesAfterMs, () => {
+      world.drain(target)
+    })
+    // One renewal gets no response, and the answer to the next one comes after the end of the lease.
+    world.store.isSilent = true
+    await world.advance(550)
+    world.store.isSilent = false
+    world.store.workMs = 380
+    let hasEnded = false
+    for (let ms = 0; ms < 3500; ms += 25) {
+      await world.advance(25)
+      const now = leader.leadership.tenure?.term
+      if (hasEnded && now === term) lateRenewals += 1
+      hasEnded = now === undefined
+    }
+    world.store.workMs = 0
+    await world.advance(4000)
+    assert.deepEqual(world.violations, [], `the target leaves after ${String(leavesAfterMs)} ms`)
+  }
+  assert.ok(lateRenewals > 0, 'a renewal was answered late')
+})
+
 test('the keys of a draining target move before it ends', async () => {
   const world = await settle(6)
   const [target] = world.targets
--- a/packages/gateway/src/testing-world.ts
+++ b/packages/gateway/src/testing-world.ts
@@ -48,6 +48,8 @@
   isDown = false
   /** Calls get no response, and end with their timeout. */
   isSilent = false
+  /** Time that each call takes beyond the network's; a write takes effect in the middle of it. */
+  workMs = 0
 
   constructor(time: VirtualTime) {
     super()
@@ -77,7 +79,8 @@
     table: string,
     { timeoutMs = 800 }: StoreCallOptions = {},
   ): Promise<StoreResult<TableSnapshot>> {
-    await this.#store.sleep(2 * networkMs)
+    await this.#store.sleep(Math.min(timeoutMs, 2 * networkMs + this.#store.workMs))
+    if (this.#store.workMs >= timeoutMs) return Result.err(away('snapshot'))
     if (this.#store.isSilent) await this.#store.sleep(timeoutMs)
     if (this.#isAway()) return Result.err(away('snapshot'))
     return Result.ok({ rows: this.#store.rows(table), version: this.#store.version })
@@ -86,7 +89,7 @@
   override async changes(table: string, after: number, waitMs: number): Promise<StoreResult<TableChanges>> {
     let waitedMs = 0
     for (;;) {
-      await this.#store.sleep(2 * networkMs)
+      await this.#store.sleep(2 * networkMs + (waitedMs === 0 ? this.#store.workMs : 0))
       if (this.#store.isSilent) await this.#store.sleep(waitMs + 800)
       if (this.#isAway()) return Result.err(away('changes'))
       const rows = this.#store.changes(table, after)
@@ -118,8 +121,16 @@
       await this.#store.sleep(timeoutMs)
       return Result.err({ code: 'unknown', step: 'commit', message: 'no response' })
     }
+    const { workMs } = this.#store
+    const answeredAfterMs = workMs + 2 * networkMs
+    if (answeredAfterMs > timeoutMs) {
+      void this.#store.sleep(workMs / 2).then(() => this.#store.commit(transaction))
+      await this.#store.sleep(timeoutMs)
+      return Result.err({ code: 'unknown', step: 'commit', message: 'no response' })
+    }
+    await this.#store.sleep(workMs / 2)
     const version = this.#store.commit(transaction)
-    await this.#store.sleep(networkMs)
+    await this.#store.sleep(workMs / 2 + networkMs)
     return version === undefined
       ? Result.err({ code: 'conflict', step: 'commit', message: 'another version' })
       : Result.ok(version)
