--- a/packages/gateway/src/key-control.ts
+++ b/packages/gateway/src/key-control.ts
@@ -36,8 +36,12 @@
 export class KeyControl {
   readonly #options: KeyControlOptions
   readonly #keyLoads = new Map<string, KeyLoad>()
+  /**
+   * They last for the whole term, also while a renewal of the lease is late: what they have granted bounds when owners
+   * that cannot be asked hold nothing, and is known to nobody else.
+   */
   readonly #keepers = new Map<string, KeyKeeper>()
-  #term = 0
+  #term: number | undefined
   #silentSinceMs: number | undefined
   #stopped = false
 
@@ -60,14 +64,16 @@
   async run(): Promise<void> {
     while (!this.#stopped) {
       await this.#options.clock.sleep(tickMs)
-      const { tenure } = this.#options.leadership
-      if (tenure === undefined) this.#closeKeepers()
-      else if (tenure.term === this.#term || (await this.#begin(tenure))) this.#tick(tenure)
+      const { tenure, term } = this.#options.leadership
+      if (term !== this.#term) this.#closeKeepers()
+      if (tenure === undefined) continue
+      if (tenure.term === this.#term || (await this.#begin(tenure))) this.#tick(tenure)
     }
   }
 
   /** Shares below 1 of all services; empty while this host does not lead. */
   shares(): Record<string, number> {
+    if (this.#options.leadership.tenure === undefined) return {}
     return Object.fromEntries([...this.#keepers.values()].flatMap((keeper) => [...keeper.shares]))
   }
 
@@ -87,14 +93,14 @@
 
   /** Decisions build on what is stored now, not on what the feed has delivered so far. */
   async #begin(tenure: Tenure): Promise<boolean> {
-    const { store, directory, logger } = this.#options
-    this.#closeKeepers()
+    const { store, directory, logger, leadership } = this.#options
     const read = await store.snapshot(storeTables.own)
     if (read.isErr) {
       logger.warn('keys.read_failed', { term: tenure.term, ...read.error })
       return false
     }
     for (const row of read.value.rows) directory.applyOwnRow(row)
+    if (leadership.term !== tenure.term) return false
     this.#term = tenure.term
     logger.info('keys.begun', { ...tenure, version: read.value.version })
     return !this.#stopped
@@ -110,7 +116,7 @@
         keyLoad,
         tenure,
         workMs: () => workMs(service),
-        remainingMs: () => leadership.remainingMs(),
+        remainingMs: () => leadership.remainingMs(tenure.term),
         extending: () => {
           leadership.noteLongGrants()
         },
@@ -123,7 +129,7 @@
   #closeKeepers(): void {
     for (const keeper of this.#keepers.values()) keeper.close()
     this.#keepers.clear()
-    this.#term = 0
+    this.#term = undefined
   }
 
   #checkReach(): void {
--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -85,8 +85,14 @@
     this.#observed = new ObservedLease(leaseTimes, options.clock.monotonicMs())
   }
 
+  /** Undefined while this host may not act as the leader; a late renewal brings the same tenure back. */
   get tenure(): Tenure | undefined {
-    return this.remainingMs() > 0 ? this.#tenure : undefined
+    return this.#remainingMs() > 0 ? this.#tenure : undefined
+  }
+
+  /** The term that this host took and has not given up or lost; its lease may have ended. */
+  get term(): number | undefined {
+    return this.#tenure?.term
   }
 
   /** Whether a host is known to lead just now. */
@@ -94,9 +100,9 @@
     return this.#lease !== undefined || this.#observed.waitMs(this.#options.clock.monotonicMs()) > 0
   }
 
-  /** Time for which this host may still send grants; 0 when it does not lead. */
-  remainingMs(): number {
-    return this.#lease === undefined ? 0 : Math.max(0, this.#lease.remainingMs(this.#reading()))
+  /** Time for which this host may still send grants under the term; 0 when it does not lead in it. */
+  remainingMs(term: number): number {
+    return this.#tenure?.term === term ? this.#remainingMs() : 0
   }
 
   async run(): Promise<void> {
@@ -167,7 +173,7 @@
       this.#lose('another host leads', seen.record.leader)
       return
     }
-    if (this.remainingMs() <= 0) {
+    if (this.#remainingMs() <= 0) {
       this.#lose('lease ended')
       return
     }
@@ -237,6 +243,10 @@
     return false
   }
 
+  #remainingMs(): number {
+    return this.#lease === undefined ? 0 : Math.max(0, this.#lease.remainingMs(this.#reading()))
+  }
+
   #reading(): ClockReading {
     const { clock } = this.#options
     return { monotonicMs: clock.monotonicMs(), wallMs: clock.wallMs() }
