--- a/packages/assignment/src/holds.ts
+++ b/packages/assignment/src/holds.ts
@@ -13,22 +13,40 @@
 export const lapseMs = (endedAtMs: number, holdMs: number): number =>
   endedAtMs + holdMs * clockRate + marginMs
 
+/** One of its functions is called once, when the call has ended. */
+export interface GrantUnderWay {
+  /** The grant took effect until `endedAtMs`, or may have. */
+  readonly ended: (endedAtMs: number, holdMs: number) => void
+  /** The grant certainly did not take effect. */
+  readonly refused: () => void
+}
+
 /** The grants that were sent to one target. */
 export class TargetHolds {
   #lapsesAtMs: number
+  #underWay = 0
 
   /** `lapsesAtMs` bounds grants that an earlier renewer may have sent. */
   constructor(lapsesAtMs: number) {
     this.#lapsesAtMs = lapsesAtMs
   }
 
-  /** Called when the call has ended, with or without a response. */
-  granted(endedAtMs: number, holdMs: number): void {
-    this.#lapsesAtMs = Math.max(this.#lapsesAtMs, lapseMs(endedAtMs, holdMs))
+  /** Called before a grant is sent; it may arrive at any moment until its call has ended. */
+  sending(): GrantUnderWay {
+    this.#underWay += 1
+    return {
+      ended: (endedAtMs, holdMs) => {
+        this.#underWay -= 1
+        this.#lapsesAtMs = Math.max(this.#lapsesAtMs, lapseMs(endedAtMs, holdMs))
+      },
+      refused: () => {
+        this.#underWay -= 1
+      },
+    }
   }
 
-  /** When the target certainly holds nothing, if no more grants are sent. */
+  /** When the target certainly holds nothing, if no more grants are sent; unknown while one is under way. */
   get lapsesAtMs(): number {
-    return this.#lapsesAtMs
+    return this.#underWay > 0 ? Infinity : this.#lapsesAtMs
   }
 }
--- /dev/null
+++ b/packages/gateway/src/target-grants.test.ts
@@ -0,0 +1,86 @@
+/** Guards against a bound on an owner's hold that leaves out grants which may still arrive. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { Result } from 'true-myth'
+import { SilentLogger } from '@pimentotally/core'
+import { VirtualTime } from '@pimentotally/core/testing'
+import { GrantOutcome, TargetControl, type ControlError, type GrantCall } from '@pimentotally/assignment'
+import { targetRow } from '@pimentotally/platform/testing'
+import { Directory, type KnownTarget } from './directory.js'
+import { TargetGrants, type TargetGrantsOptions } from './target-grants.js'
+
+const range = {
+  from: 0,
+  to: 9,
+  owner: 't0',
+  ownerStartedAtEpochMs: 1000,
+  fence: 1,
+  formerOwner: undefined,
+}
+const maxHoldMs = 10_000
+
+/** Answers each grant after `answerMs`. */
+class SlowTarget extends TargetControl {
+  readonly calls: GrantCall[] = []
+  readonly #time: VirtualTime
+  answerMs = 0
+
+  constructor(time: VirtualTime) {
+    super()
+    this.#time = time
+  }
+
+  override probe(): Promise<boolean> {
+    return Promise.resolve(true)
+  }
+
+  override async grant(_target: unknown, call: GrantCall): Promise<Result<GrantOutcome, ControlError>> {
+    this.calls.push(call)
+    await new Promise<void>((resolve) => this.#time.schedule(this.answerMs, resolve))
+    return Result.ok(GrantOutcome.granted)
+  }
+
+  override release(): ReturnType<TargetControl['release']> {
+    return Promise.resolve(Result.ok({ released: true, handover: undefined }))
+  }
+}
+
+const build = (options: Partial<TargetGrantsOptions> = {}) => {
+  const time = new VirtualTime()
+  const clock = time.clock()
+  const logger = new SilentLogger()
+  const directory = new Directory({ clock, logger })
+  directory.applyRegister({
+    changed: [targetRow({ id: 't0', address: '10.0.0.1:8000', rowVersion: 1 })],
+    removed: [],
+    version: 1,
+  })
+  const calls = new SlowTarget(time)
+  const grants = new TargetGrants({
+    service: 'notes',
+    clock,
+    logger,
+    directory,
+    calls,
+    tenure: { term: 1, predecessor: 'none', startedAtMs: 0 },
+    maxHoldMs,
+    remainingMs: () => 2000,
+    extending: () => undefined,
+    ...options,
+  })
+  const target = directory.target('t0')
+  assert.ok(target)
+  return { time, calls, grants, target: target as KnownTarget }
+}
+
+test('an owner is not free while a grant to it is under way', async () => {
+  const { time, calls, grants, target } = build()
+  await time.advance(20_000)
+  assert.ok(grants.lapsesAtMs('t0') < time.nowMs(), 'nothing was granted yet')
+  calls.answerMs = 700
+  void grants.grant(target, range)
+  await time.advance(600)
+  assert.ok(grants.lapsesAtMs('t0') > time.nowMs() + 4700, 'the grant may have arrived just now')
+  await time.advance(200)
+  assert.ok(grants.lapsesAtMs('t0') > time.nowMs())
+})
--- a/packages/gateway/src/target-grants.ts
+++ b/packages/gateway/src/target-grants.ts
@@ -129,11 +129,13 @@
     }: { readonly holdMs?: number; readonly handover?: string | undefined } = {},
   ): Promise<boolean> {
     const { calls, clock, logger, service } = this.#options
+    const holds = this.#holdsOf(target.id)
+    const sent = holds.sending()
     const result = await calls.grant(target, { from, to, fence, holdMs, handover, timeoutMs: grantTimeoutMs })
     const nowMs = clock.monotonicMs()
-    const holds = this.#holdsOf(target.id)
     if (result.isErr) {
-      if (result.error.code !== 'not_sent') holds.granted(nowMs, holdMs)
+      if (result.error.code === 'not_sent') sent.refused()
+      else sent.ended(nowMs, holdMs)
       if (!this.#silent.has(target.id)) {
         this.#silent.add(target.id)
         const lapsesInMs = holds.lapsesAtMs - nowMs
@@ -143,10 +145,11 @@
     }
     const outcome = result.value
     if (outcome !== GrantOutcome.granted) {
+      sent.refused()
       logger.warn('keys.grant_refused', { service, target: target.id, from, to, fence, outcome })
       return false
     }
-    holds.granted(nowMs, holdMs)
+    sent.ended(nowMs, holdMs)
     this.#silent.delete(target.id)
     return true
   }
