--- a/packages/gateway/src/target-grants.test.ts
+++ b/packages/gateway/src/target-grants.test.ts
@@ -84,3 +84,22 @@
   await time.advance(200)
   assert.ok(grants.lapsesAtMs('t0') > time.nowMs())
 })
+
+test('grants of the longest hold end when the lease is renewed, and each of them is announced', async () => {
+  let remainingMs = 600
+  let announced = 0
+  const { time, calls, grants, target } = build({
+    remainingMs: () => remainingMs,
+    extending: () => (announced += 1),
+  })
+  const ranges = Array.from({ length: 12 }, (_, index) => ({ ...range, from: index, to: index }))
+  calls.answerMs = 700
+  grants.renew(new Map([[target, ranges]]), () => true)
+  await time.advance(1500)
+  remainingMs = 2000
+  await time.advance(8000)
+  const longGrants = calls.calls.filter(({ holdMs }) => holdMs === maxHoldMs)
+  assert.equal(calls.calls.length, 12)
+  assert.equal(longGrants.length, 3)
+  assert.equal(announced, 3)
+})
--- a/packages/gateway/src/target-grants.ts
+++ b/packages/gateway/src/target-grants.ts
@@ -39,7 +39,7 @@
   readonly maxHoldMs: number
   /** Time for which this host may still send grants. */
   readonly remainingMs: () => number
-  /** Called before grants of the longest hold are sent. */
+  /** Called before each grant of the longest hold. */
   readonly extending: () => void
 }
 
@@ -100,12 +100,11 @@
     owned: ReadonlyMap<KnownTarget, readonly AssignedRange[]>,
     stillOwns: (range: AssignedRange) => boolean,
   ): void {
-    const { clock, remainingMs, maxHoldMs } = this.#options
+    const { clock, remainingMs } = this.#options
     const nowMs = clock.monotonicMs()
     const extend = remainingMs() < extendBelowMs
     const extendNow = extend && !this.#extended
     this.#extended = extend
-    if (extend) this.#options.extending()
     for (const [target, ranges] of owned) {
       if (this.#busy.has(target.id)) continue
       const dueAtMs = (this.#renewedAtMs.get(target.id) ?? -renewEveryMs) + renewEveryMs
@@ -114,7 +113,7 @@
       this.#busy.add(target.id)
       const work = this.#silent.has(target.id)
         ? this.#probeSilent(target)
-        : this.#renewTarget(target, ranges, extend ? maxHoldMs : grantHoldMs, stillOwns)
+        : this.#renewTarget(target, ranges, stillOwns)
       void work.finally(() => this.#busy.delete(target.id))
     }
   }
@@ -164,12 +163,15 @@
   async #renewTarget(
     target: KnownTarget,
     ranges: readonly AssignedRange[],
-    holdMs: number,
     stillOwns: (range: AssignedRange) => boolean,
   ): Promise<void> {
+    const { remainingMs, maxHoldMs, extending } = this.#options
     for (const range of ranges) {
       if (!this.mayGrant || !stillOwns(range)) continue
-      if (!(await this.grant(target, range, { holdMs }))) return
+      // A target with many ranges may still be granted some of them long after the lease was renewed.
+      const extend = remainingMs() < extendBelowMs
+      if (extend) extending()
+      if (!(await this.grant(target, range, { holdMs: extend ? maxHoldMs : grantHoldMs }))) return
     }
   }
 
