--- a/packages/gateway/src/ownership.test.ts
+++ b/packages/gateway/src/ownership.test.ts
@@ -119,6 +119,35 @@
   assertOwned(world)
 })
 
+test('keys of a silent owner stay with it through a leader that followed a lapsed one and gave the lease up', async () => {
+  const world = await settle(15)
+  const [target] = world.targets
+  const first = world.leader()
+  assert.ok(target && first)
+  const longestHoldMs = (): number =>
+    Math.max(...target.holds.map(({ untilMs }) => untilMs)) - world.time.nowMs()
+  // The first leader extends its grants, and is lost.
+  world.store.isSilent = true
+  for (let ms = 0; ms < 2500 && longestHoldMs() < 9500; ms += 25) await world.advance(25)
+  assert.ok(longestHoldMs() > 9500, 'the grants are extended')
+  first.kill()
+  target.isSilent = true
+  world.store.isSilent = false
+  // The second one follows it, and gives the lease up.
+  for (let ms = 0; ms < 4000 && world.leader() === undefined; ms += 25) await world.advance(25)
+  const second = world.leader()
+  assert.ok(second)
+  assert.equal(second.leadership.tenure?.predecessor, 'lapsed')
+  await world.advance(300)
+  second.control.stop()
+  void second.leadership.stop()
+  await world.advance(100)
+  second.kill()
+  await world.advance(14_000)
+  assert.equal(world.leader()?.leadership.tenure?.term, 3)
+  assertOwned(world)
+})
+
 test('keys stay with their owner when a move is stored while the leader’s lease has ended and is renewed late', async () => {
   let lateRenewals = 0
   // Whether the move is stored between the end of the lease and its renewal depends on when the target leaves.
