--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -79,6 +79,7 @@
   #stopped = false
   #releaseRequested: string | undefined
   #longGrantsLapseAtMs = -Infinity
+  #step: Promise<void> | undefined
 
   constructor(options: LeadershipOptions) {
     this.#options = options
@@ -110,8 +111,8 @@
     while (!this.#stopped) {
       const seen = directory.leader
       if (seen !== undefined) this.#observed.observe(seen.record, clock.monotonicMs())
-      if (this.#lease === undefined) await this.#candidate()
-      else await this.#lead()
+      this.#step = this.#lease === undefined ? this.#candidate() : this.#lead()
+      await this.#step
       await clock.sleep(checkEveryMs)
     }
   }
@@ -132,6 +133,8 @@
   /** Gives the lease up; no grants may be sent after this call. */
   async stop(): Promise<void> {
     this.#stopped = true
+    // A write under way may take the lease or renew it, and the release builds on the version that it leaves.
+    await this.#step
     if (this.#lease !== undefined) await this.#release('stopping')
   }
 
--- a/packages/gateway/src/ownership.test.ts
+++ b/packages/gateway/src/ownership.test.ts
@@ -148,6 +148,24 @@
   assertOwned(world)
 })
 
+test('a host that stops while its election or a renewal is under way leaves no lease behind', async () => {
+  for (let offsetMs = 0; offsetMs < 2400; offsetMs += 100) {
+    const world = new OwnershipWorld({ seed: 16 })
+    world.store.workMs = 400
+    await world.advance(offsetMs)
+    const stopped = world.hosts.filter((_, index) => index > 0)
+    for (const { control, leadership } of stopped) {
+      control.stop()
+      void leadership.stop()
+    }
+    await world.advance(2000)
+    const [last] = world.hosts
+    const leader = last?.directory.leader?.record
+    const isFree = leader === undefined || leader.released || leader.leader === 'h0'
+    assert.ok(isFree, `after ${String(offsetMs)} ms: ${JSON.stringify(leader)}`)
+  }
+})
+
 test('keys stay with their owner when a move is stored while the leader’s lease has ended and is renewed late', async () => {
   let lateRenewals = 0
   // Whether the move is stored between the end of the lease and its renewal depends on when the target leaves.
