--- a/packages/assignment/src/election.ts
+++ b/packages/assignment/src/election.ts
@@ -10,7 +10,7 @@
   readonly peerAddress: string
   /** Rises with each change of leader. */
   readonly term: number
-  /** Rises with each renewal. */
+  /** Differs in each write of one process. */
   readonly renewal: number
   /** The leader has given its lease up and sends no more grants. */
   readonly released: boolean
--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -80,6 +80,7 @@
   #releaseRequested: string | undefined
   #longGrantsLapseAtMs = -Infinity
   #step: Promise<void> | undefined
+  #renewals = 0
 
   constructor(options: LeadershipOptions) {
     this.#options = options
@@ -151,7 +152,7 @@
       leader: processId,
       peerAddress,
       term: (seen?.record.term ?? 0) + 1,
-      renewal: 1,
+      renewal: this.#nextRenewal(),
       released: false,
       hasLongGrants: false,
     }
@@ -188,7 +189,7 @@
     if (this.#record === undefined || nowMs < this.#retryAtMs || nowMs - this.#lastRenewalMs < renewEveryMs)
       return
     const sentAt = this.#reading()
-    const record = { ...this.#record, renewal: this.#record.renewal + 1 }
+    const record = { ...this.#record, renewal: this.#nextRenewal() }
     if (await this.#write(record, this.#rowVersion)) {
       const endedMs = -(this.#lease?.remainingMs(this.#reading()) ?? 0)
       if (endedMs > 0) this.#options.logger.info('leader.renewed_late', { term: record.term, endedMs })
@@ -207,7 +208,8 @@
     if (record === undefined) return
     // The successor must not take these for grants of the normal hold.
     const hasLongGrants = this.#options.clock.monotonicMs() < this.#longGrantsLapseAtMs
-    await this.#write({ ...record, released: true, hasLongGrants }, this.#rowVersion)
+    const renewal = this.#nextRenewal()
+    await this.#write({ ...record, renewal, released: true, hasLongGrants }, this.#rowVersion)
   }
 
   #lose(reason: string, successor?: string): void {
@@ -217,7 +219,7 @@
     this.#record = undefined
   }
 
-  /** After a lost response the row is read, and the next renewal builds on what it holds. */
+  /** After a lost response the row is read: it tells whether this very write took effect. */
   async #write(record: LeaderRecord, version: number): Promise<boolean> {
     const { store, directory, logger, processId, clock } = this.#options
     const value = encodeLeader(record)
@@ -239,11 +241,20 @@
     if (current === undefined) return false
     directory.applyOwnRow(current)
     const seen = directory.leader
-    if (seen !== undefined) this.#observed.observe(seen.record, clock.monotonicMs())
-    if (seen?.record.leader !== processId || this.#lease === undefined) return false
+    if (seen === undefined) return false
+    this.#observed.observe(seen.record, clock.monotonicMs())
+    if (seen.record.leader !== processId) return false
+    const isWritten = seen.record.renewal === record.renewal
+    if (!isWritten && this.#lease === undefined) return false
     this.#rowVersion = seen.version
     this.#record = seen.record
-    return false
+    return isWritten
+  }
+
+  /** A new number for each attempt: a lease counts from when the write that is stored was sent, not an earlier one. */
+  #nextRenewal(): number {
+    this.#renewals += 1
+    return this.#renewals
   }
 
   #remainingMs(): number {
--- a/packages/gateway/src/ownership.test.ts
+++ b/packages/gateway/src/ownership.test.ts
@@ -119,6 +119,30 @@
   assertOwned(world)
 })
 
+test('a leader whose writes take effect without a response goes on leading', async () => {
+  const world = await settle(17)
+  const [target] = world.targets
+  const leader = world.leader()
+  assert.ok(target && leader)
+  world.store.losesAnswers = true
+  world.drain(target)
+  for (let ms = 0; ms < 8000; ms += 25) {
+    await world.advance(25)
+    assert.equal(leader.leadership.tenure?.term, 1, `after ${String(ms)} ms`)
+  }
+  assertOwned(world)
+  assert.deepEqual(target.holds, [], 'the target has given its keys up')
+})
+
+test('a host whose election takes effect without a response leads', async () => {
+  const world = await settle(18)
+  world.leader()?.kill()
+  world.store.losesAnswers = true
+  await world.advance(4500)
+  assert.equal(world.leader()?.leadership.tenure?.term, 2)
+  assertOwned(world)
+})
+
 test('keys of a silent owner stay with it through a leader that followed a lapsed one and gave the lease up', async () => {
   const world = await settle(15)
   const [target] = world.targets
--- a/packages/gateway/src/testing-world.ts
+++ b/packages/gateway/src/testing-world.ts
@@ -48,6 +48,8 @@
   isDown = false
   /** Calls get no response, and end with their timeout. */
   isSilent = false
+  /** Writes take effect, but get no response. */
+  losesAnswers = false
   /** Time that each call takes beyond the network's; a write takes effect in the middle of it. */
   workMs = 0
 
@@ -121,8 +123,8 @@
       await this.#store.sleep(timeoutMs)
       return Result.err({ code: 'unknown', step: 'commit', message: 'no response' })
     }
-    const { workMs } = this.#store
-    const answeredAfterMs = workMs + 2 * networkMs
+    const { workMs, losesAnswers } = this.#store
+    const answeredAfterMs = losesAnswers ? Infinity : workMs + 2 * networkMs
     if (answeredAfterMs > timeoutMs) {
       void this.#store.sleep(workMs / 2).then(() => this.#store.commit(transaction))
       await this.#store.sleep(timeoutMs)
