--- a/packages/core/src/testing.ts
+++ b/packages/core/src/testing.ts
@@ -32,6 +32,8 @@
 export class VirtualClock extends Clock {
   readonly #time: VirtualTime
   #paused = false
+  /** Set by steps of the host's clock. */
+  wallOffsetMs = 0
   #deferred: (() => void)[] = []
 
   constructor(time: VirtualTime) {
@@ -48,7 +50,7 @@
   }
 
   override wallMs(): number {
-    return 1_700_000_000_000 + this.#time.nowMs()
+    return 1_700_000_000_000 + this.#time.nowMs() + this.wallOffsetMs
   }
 
   override schedule(delayMs: number, callback: () => void): Cancel {
--- a/packages/gateway/src/replica.test.ts
+++ b/packages/gateway/src/replica.test.ts
@@ -8,7 +8,7 @@
 import { ChangeLog } from './change-log.js'
 import { Relay, RelayedStore, type RelayedTable } from './relay.js'
 import { Replica } from './replica.js'
-import { StoreView, WorldStore } from './testing-world.js'
+import { StoreView, WorldStore } from './testing-store.js'
 
 const table = 'servers'
 
--- a/packages/gateway/src/testing-target.ts
+++ b/packages/gateway/src/testing-target.ts
@@ -9,18 +9,32 @@
   readonly untilMs: number
 }
 
+interface Work extends KeyRange {
+  readonly endsAtMs: number
+  /** When the hold would have run out. */
+  readonly untilMs: number
+}
+
 /** A target as the promises describe it: holds by range, fences, grants that may be applied late. */
 export class FakeTarget {
   readonly address: string
   id: string
+  service = 'notes'
+  state: 'ready' | 'draining' = 'ready'
   born: number
   sequence = 1
   isUp = true
   isSilent = false
   /** Share of orders that get no response and are carried out seconds later. */
   lateShare = 0
+  /** Longest time that a grant's answer takes. */
+  answerMs = 0
+  /** The process ends after the next release, and a new one starts under the same id. */
+  restartsAfterRelease = false
   /** While one runs, a release waits. */
   workMs = 80
+  /** Work that was running on keys when they were released. */
+  work: Work[] = []
   holds: Hold[] = []
   highestFence: { readonly range: KeyRange; readonly fence: number }[] = []
 
@@ -52,15 +66,25 @@
     return GrantOutcome.granted
   }
 
-  release({ from, to, fence }: ReleaseCall): void {
+  /** Returns how long work on the keys still runs; `workMs` is that of work on keys that are held until now. */
+  release({ from, to, fence }: ReleaseCall, nowMs: number, workMs: number): number {
+    const held = this.holds.filter((hold) => hold.untilMs > nowMs && hold.from <= to && from <= hold.to)
+    const untilMs = Math.max(0, ...held.map((hold) => hold.untilMs))
+    this.work = this.work.filter(({ endsAtMs }) => endsAtMs > nowMs)
+    if (held.length > 0) this.work.push({ from, to, endsAtMs: nowMs + workMs, untilMs })
     this.highestFence.push({ range: { from, to }, fence })
     this.holds = subtract(this.holds, { from, to })
+    const running = this.work.filter((work) => work.from <= to && from <= work.to)
+    return Math.max(0, ...running.map(({ endsAtMs }) => endsAtMs - nowMs))
   }
 
   restart(id: string, born: number): void {
     this.id = id
     this.born = born
+    this.service = 'notes'
+    this.state = 'ready'
     this.sequence = 1
+    this.work = []
     this.holds = []
     this.highestFence = []
     this.isUp = true
