--- a/packages/assignment/src/assignment.test.ts
+++ b/packages/assignment/src/assignment.test.ts
@@ -345,3 +345,18 @@
   for (let request = 0; request < 3000; request += 1) if (random.float() < (shares.get('hot') ?? 1)) sent += 1
   assert.ok(sent / 10 < 20 && sent / 10 > 14, `${String(sent / 10)} a second`)
 })
+
+test('a candidate counts the lease anew when the same host takes it in a later term', () => {
+  const lease = new ObservedLease({ leaseMs: 2000, marginMs: 250 }, 0)
+  const record: LeaderRecord = {
+    leader: 'a',
+    peerAddress: 'a:1',
+    term: 5,
+    renewal: 1,
+    released: false,
+    hasLongGrants: false,
+  }
+  lease.observe(record, 0)
+  lease.observe({ ...record, term: 6 }, 2300)
+  assert.equal(lease.waitMs(2400), 2150)
+})
--- a/packages/assignment/src/election.ts
+++ b/packages/assignment/src/election.ts
@@ -74,6 +74,7 @@
     const known = this.#record
     if (
       known?.leader === record.leader &&
+      known.term === record.term &&
       known.renewal === record.renewal &&
       known.released === record.released
     )
