--- a/packages/gateway/src/directory.test.ts
+++ b/packages/gateway/src/directory.test.ts
@@ -197,6 +197,18 @@
   assert.equal(directory.isCertainlyGone('a', address, 5000), false)
 })
 
+test('entries that one read shows first do not prove an end by their order', () => {
+  const { directory } = start()
+  // A host that starts reads the table in the order of its keys; a late write has brought the earlier entry back.
+  directory.applyRegister({
+    changed: [life('a', 5000, 3), life('earlier', 9000, 4)],
+    removed: [],
+    version: 4,
+  })
+  directory.applyRegister({ changed: [], removed: ['a'], version: 5 })
+  assert.equal(directory.isCertainlyGone('a', address, 5000), false)
+})
+
 test('a heartbeat that a late write brings back after a newer one changes nothing', () => {
   const { directory } = start()
   const beat = (sequence: number, rowVersion: number, state = 'ready', startedAtEpochMs = 1000) =>
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -45,6 +45,8 @@
 interface ProcessLife {
   readonly id: string
   readonly startedAtEpochMs: number
+  /** Number of the read of the register that showed it first. */
+  readonly firstRead: number
 }
 
 interface StoredBlocks {
@@ -90,6 +92,7 @@
   readonly #waiters = new Set<() => void>()
   #leader: { readonly record: LeaderRecord; readonly version: number } | undefined
   #registerReadAtMs: number | undefined
+  #registerReads = 0
   #registerVersion = 0
   #graceUntilMs = 0
   #malformedRows = 0
@@ -160,14 +163,18 @@
   /**
    * Whether the process has certainly ended: a process of another id started at its address after it. Both starts and
    * the order in which the entries were first seen have to say so, because a late write may bring the entry of an earlier
-   * process back, and clocks that name a start may be set. An unknown start proves nothing.
+   * process back, and clocks that name a start may be set. An unknown start proves nothing, nor does the order of entries
+   * that one read shows first.
    */
   isCertainlyGone(id: string, address: string, startedAtEpochMs: number | undefined): boolean {
     if (startedAtEpochMs === undefined) return false
     const lives = this.#livesByAddress.get(address) ?? []
-    const own = lives.findIndex((life) => life.id === id && life.startedAtEpochMs === startedAtEpochMs)
-    if (own < 0) return false
-    return lives.slice(own + 1).some((life) => life.id !== id && life.startedAtEpochMs > startedAtEpochMs)
+    const own = lives.find((life) => life.id === id && life.startedAtEpochMs === startedAtEpochMs)
+    if (own === undefined) return false
+    return lives.some(
+      (life) =>
+        life.id !== id && life.startedAtEpochMs > startedAtEpochMs && life.firstRead > own.firstRead,
+    )
   }
 
   assignment(service: string): KnownAssignment | undefined {
@@ -230,6 +237,7 @@
       this.#graceUntilMs = nowMs + reappearanceMs
     }
     this.#registerReadAtMs = nowMs
+    this.#registerReads += 1
     this.#registerVersion = version
     const outdated = changed.filter((row) => !this.#applyEntry(row, nowMs)).map(({ key }) => key)
     for (const id of removed) this.#vanish(id, nowMs)
@@ -386,7 +394,7 @@
     if (startedAtEpochMs === undefined) return
     const lives = this.#livesByAddress.get(address) ?? []
     if (lives.some((life) => life.id === id && life.startedAtEpochMs === startedAtEpochMs)) return
-    lives.push({ id, startedAtEpochMs })
+    lives.push({ id, startedAtEpochMs, firstRead: this.#registerReads })
     if (lives.length > livesPerAddress) lives.shift()
     this.#livesByAddress.set(address, lives)
   }
