--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -172,8 +172,7 @@
     const own = lives.find((life) => life.id === id && life.startedAtEpochMs === startedAtEpochMs)
     if (own === undefined) return false
     return lives.some(
-      (life) =>
-        life.id !== id && life.startedAtEpochMs > startedAtEpochMs && life.firstRead > own.firstRead,
+      (life) => life.id !== id && life.startedAtEpochMs > startedAtEpochMs && life.firstRead > own.firstRead,
     )
   }
 
