--- a/packages/assignment/src/target-control.ts
+++ b/packages/assignment/src/target-control.ts
@@ -37,9 +37,15 @@
   readonly message: string
 }
 
+/** Who answers at an address. */
+export interface ProbeAnswer {
+  /** Undefined when the answer does not name its sender. */
+  readonly id: string | undefined
+}
+
 export abstract class TargetControl {
-  /** Whether the target answers at all. */
-  abstract probe(target: TargetAddress, path: string, timeoutMs: number): Promise<boolean>
+  /** Undefined when nobody answers at the target's address. */
+  abstract probe(target: TargetAddress, path: string, timeoutMs: number): Promise<ProbeAnswer | undefined>
 
   abstract grant(target: TargetAddress, call: GrantCall): Promise<Result<GrantOutcome, ControlError>>
 
--- a/packages/gateway/src/former-owners.ts
+++ b/packages/gateway/src/former-owners.ts
@@ -18,7 +18,7 @@
   released: 'released',
   /** Every grant that was sent to it has lapsed. */
   lapsed: 'lapsed',
-  /** A later process runs at its address. */
+  /** A later process runs at its address, as the register and that process say. */
   processEnded: 'process_ended',
   /** The range goes to a new process of the same target, which began without keys. */
   newLife: 'new_life',
@@ -52,6 +52,8 @@
   readonly #options: FormerOwnersOptions
   readonly #seen = new Map<string, SeenOwner>()
   readonly #vanished = new Map<string, VanishedOwner>()
+  /** Owners at whose addresses another process has answered. */
+  readonly #replaced = new Set<string>()
 
   constructor(options: FormerOwnersOptions) {
     this.#options = options
@@ -59,7 +61,10 @@
 
   /** Records where the targets of the register are. */
   see(targets: readonly KnownTarget[]): void {
-    for (const { id, address, startedAtEpochMs } of targets) this.#seen.set(id, { address, startedAtEpochMs })
+    for (const { id, address, startedAtEpochMs } of targets) {
+      this.#seen.set(id, { address, startedAtEpochMs })
+      this.#replaced.delete(id)
+    }
   }
 
   addressOf(id: string): string | undefined {
@@ -76,11 +81,19 @@
     const seen = this.#find(id)
     const hasEnded =
       seen !== undefined &&
+      this.#replaced.has(id) &&
       directory.target(id) === undefined &&
       directory.isCertainlyGone(id, seen.address, seen.startedAtEpochMs)
     return hasEnded ? HoldEnd.processEnded : undefined
   }
 
+  /** Asks at the address of an owner that left the register who runs there. */
+  async ask(id: string): Promise<void> {
+    const address = this.addressOf(id)
+    if (address === undefined || this.#options.directory.target(id) !== undefined) return
+    await this.#probeAddress(id, address)
+  }
+
   /**
    * Owners whose ranges cannot move now: a silent owner that left the register may come back, and a move would keep it
    * from serving its keys. Load pattern: a failure domain is cut off for some seconds.
@@ -118,10 +131,17 @@
     return vanished.wasSilent && clock.monotonicMs() - vanished.answersSinceMs < reentryMs
   }
 
+  /** Resolves true when somebody answers. */
+  async #probeAddress(id: string, address: string): Promise<boolean> {
+    const answer = await this.#options.grants.probe({ id, address })
+    if (answer?.id !== undefined && answer.id !== id) this.#replaced.add(id)
+    return answer !== undefined
+  }
+
   async #probe(id: string, address: string, vanished: VanishedOwner): Promise<void> {
-    const { clock, grants } = this.#options
+    const { clock } = this.#options
     vanished.isProbed = true
-    if (await grants.probe({ id, address })) {
+    if (await this.#probeAddress(id, address)) {
       vanished.answersSinceMs ??= clock.monotonicMs()
     } else {
       vanished.wasSilent = true
--- a/packages/gateway/src/ownership.test.ts
+++ b/packages/gateway/src/ownership.test.ts
@@ -302,6 +302,24 @@
   )
 })
 
+test('an owner that answers keeps its keys though the register shows a later process at its address', async () => {
+  const world = await settle(19)
+  const [target] = world.targets
+  assert.ok(target)
+  // The target is cut off from the store, and the entry of another writer names its address.
+  world.isCutFromStore.add(target)
+  world.vanish(target)
+  target.workMs = 60_000
+  world.writeEarlierEntry(target, 'other', target.born + 5000)
+  world.time.schedule(100, () => {
+    world.store.remove(storeTables.register, 'other')
+  })
+  for (let ms = 0; ms < 6000; ms += 25) {
+    await world.advance(25)
+    assert.deepEqual(world.violations, [], `after ${String(ms)} ms`)
+  }
+})
+
 test('the entry of an earlier process at an owner’s address does not free the owner’s keys', async () => {
   const world = await settle(13)
   const [target] = world.targets
--- a/packages/gateway/src/range-moves.ts
+++ b/packages/gateway/src/range-moves.ts
@@ -130,6 +130,7 @@
           logger.warn('keys.release_failed', { service, target: formerOwner, from, to, lapsesInMs, ...error })
         }
       }
+      await owners.ask(formerOwner)
       const lapsesInMs = grants.lapsesAtMs(formerOwner) - clock.monotonicMs()
       await clock.sleep(Math.min(releasePauseMs, Math.max(1, lapsesInMs)))
     }
--- a/packages/gateway/src/target-grants.test.ts
+++ b/packages/gateway/src/target-grants.test.ts
@@ -4,7 +4,13 @@
 import { Result } from 'true-myth'
 import { SilentLogger } from '@pimentotally/core'
 import { VirtualTime } from '@pimentotally/core/testing'
-import { GrantOutcome, TargetControl, type ControlError, type GrantCall } from '@pimentotally/assignment'
+import {
+  GrantOutcome,
+  TargetControl,
+  type ControlError,
+  type GrantCall,
+  type ProbeAnswer,
+} from '@pimentotally/assignment'
 import { targetRow } from '@pimentotally/platform/testing'
 import { Directory, type KnownTarget } from './directory.js'
 import { TargetGrants, type TargetGrantsOptions } from './target-grants.js'
@@ -30,8 +36,8 @@
     this.#time = time
   }
 
-  override probe(): Promise<boolean> {
-    return Promise.resolve(true)
+  override probe(): Promise<ProbeAnswer> {
+    return Promise.resolve({ id: undefined })
   }
 
   override async grant(_target: unknown, call: GrantCall): Promise<Result<GrantOutcome, ControlError>> {
--- a/packages/gateway/src/target-grants.ts
+++ b/packages/gateway/src/target-grants.ts
@@ -9,6 +9,7 @@
   TargetHolds,
   lapseMs,
   type AssignedRange,
+  type ProbeAnswer,
   type TargetAddress,
   type TargetControl,
 } from '@pimentotally/assignment'
@@ -88,8 +89,8 @@
     return this.#holdsOf(id).lapsesAtMs
   }
 
-  /** Whether the target answers at all. */
-  probe(target: TargetAddress): Promise<boolean> {
+  /** Who answers at the target's address; undefined when nobody does. */
+  probe(target: TargetAddress): Promise<ProbeAnswer | undefined> {
     const { calls, directory, service } = this.#options
     const path = directory.routes?.configuration.services.get(service)?.healthPath ?? '/'
     return calls.probe(target, path, probeTimeoutMs)
@@ -154,7 +155,7 @@
   }
 
   async #probeSilent(target: KnownTarget): Promise<void> {
-    if (!(await this.probe(target))) return
+    if ((await this.probe(target)) === undefined) return
     this.#silent.delete(target.id)
     this.#renewedAtMs.delete(target.id)
     this.#options.logger.info('target.answers', { target: target.id, service: this.#options.service })
--- a/packages/gateway/src/testing-world.ts
+++ b/packages/gateway/src/testing-world.ts
@@ -14,6 +14,7 @@
   type ControlError,
   type GrantCall,
   type KeyRange,
+  type ProbeAnswer,
   type ReleaseAnswer,
   type ReleaseCall,
   type TargetAddress,
@@ -156,7 +157,7 @@
     this.#host = host
   }
 
-  override probe(address: TargetAddress, _path: string, timeoutMs: number): Promise<boolean> {
+  override probe(address: TargetAddress, _path: string, timeoutMs: number): Promise<ProbeAnswer | undefined> {
     return this.#deliver(this.#probe(address, timeoutMs))
   }
 
@@ -171,8 +172,9 @@
   }
 
   /** Whoever runs at the address answers. */
-  async #probe(address: TargetAddress, timeoutMs: number): Promise<boolean> {
-    return (await this.#reach(address, timeoutMs)) !== undefined
+  async #probe(address: TargetAddress, timeoutMs: number): Promise<ProbeAnswer | undefined> {
+    const target = await this.#reach(address, timeoutMs)
+    return target === undefined ? undefined : { id: target.id }
   }
 
   async #grant(address: TargetAddress, call: GrantCall): Promise<Result<GrantOutcome, ControlError>> {
