--- a/packages/standins/src/gateway-soak.ts
+++ b/packages/standins/src/gateway-soak.ts
@@ -1,8 +1,8 @@
 /**
  * A randomised soak of the gateway daemons as real processes. Faults come in series and overlap: processes are paused,
  * killed, stopped and restarted by signals; connections to the store and the targets are silenced, cut or cut one way;
- * the store refuses, stays silent or loses answers. Callers keep sending on kept connections. Meanwhile and afterwards
- * the promises are checked from what callers and targets saw.
+ * the store refuses, stays silent, answers slowly or loses answers. Callers keep sending on kept connections. Meanwhile
+ * and afterwards the promises are checked from what callers and targets saw.
  */
 import { Agent, request as httpRequest } from 'node:http'
 import { Random } from '@pimentotally/core'
@@ -88,6 +88,7 @@
       ['kill', () => this.#end('SIGKILL')],
       ['stop', () => this.#end('SIGTERM')],
       ['store refuses', () => this.#storeFault(StoreFault.refuse)],
+      ['store slow', () => this.#storeFault(StoreFault.slow)],
       ['store silent', () => this.#storeFault(StoreFault.silent)],
       ['store loses answers', () => this.#storeFault(StoreFault.loseWrites)],
       ['connections silent', () => this.#link((forwarder) => forwarder.silence())],
