--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -24,6 +24,8 @@
   readonly logger: Logger
   readonly directory: Directory
   readonly dispatcher: Dispatcher
+  /** Whether callers are better served by another host, so that answers close their connections. */
+  readonly sendsAway?: () => boolean
 }
 
 export class CallerServer {
@@ -114,7 +116,7 @@
     response.once('close', () => this.#open.delete(response))
     response.on('error', () => undefined)
     request.on('error', () => undefined)
-    if (this.#draining) response.shouldKeepAlive = false
+    if (this.#draining || this.#options.sendsAway?.() === true) response.shouldKeepAlive = false
     const { directory } = this.#options
     const requestId = readRequestId(request.headers) ?? ''
     if (directory.routes === undefined) {
--- /dev/null
+++ b/packages/gateway/src/daemon.test.ts
@@ -0,0 +1,104 @@
+/** What the load balancer and callers see of a whole daemon, on real sockets, with the store in virtual time. */
+import assert from 'node:assert/strict'
+import { request, type IncomingMessage } from 'node:http'
+import { test, type TestContext } from 'node:test'
+import { Random, SilentLogger } from '@pimentotally/core'
+import { VirtualTime } from '@pimentotally/core/testing'
+import { storeTables, type HostSettings } from '@pimentotally/platform'
+import { callerHeaders, configurationRow, targetRow } from '@pimentotally/platform/testing'
+import { Daemon } from './daemon.js'
+import { freePort } from './testing.js'
+import { StoreView, WorldStore } from './testing-world.js'
+
+const ip = '127.0.0.1'
+
+const settingsOf = async (): Promise<HostSettings> => ({
+  hostName: 'h',
+  domain: 'a',
+  listen: { callers: `${ip}:${String(await freePort())}`, readiness: `${ip}:${String(await freePort())}` },
+  ip,
+  peerPort: await freePort(),
+  metricsPort: await freePort(),
+  capacity: 1,
+  storeAddress: `${ip}:1`,
+  heartbeatMs: 900,
+  bounds: {
+    drainMs: 2000,
+    configurationMs: 2000,
+    evacuationMs: 5000,
+    stopMs: 6000,
+    maxHoldMs: 10_000,
+    retryRatio: 0.2,
+    retryWindowMs: 10_000,
+    retrySlack: 60,
+  },
+})
+
+interface Host {
+  readonly time: VirtualTime
+  readonly view: StoreView
+  readonly daemon: Daemon
+  readonly call: () => Promise<IncomingMessage>
+}
+
+/** One host of domain a; nothing listens at the addresses of the targets in the domains b and c. */
+const startHost = async (t: TestContext): Promise<Host> => {
+  const time = new VirtualTime()
+  const store = new WorldStore(time)
+  const view = new StoreView(store, new Random(1))
+  const configuration = configurationRow()
+  store.write(storeTables.operator, configuration.key, configuration.value)
+  for (const [index, domain] of ['b', 'b', 'c', 'c'].entries()) {
+    const address = `${ip}:${String(await freePort())}`
+    const row = targetRow({ id: `target-${String(index)}`, address, domain })
+    store.write(storeTables.register, row.key, row.value)
+  }
+  const settings = await settingsOf()
+  const daemon = new Daemon({ settings, clock: time.clock(), logger: new SilentLogger(), store: view })
+  await daemon.start()
+  t.after(async () => {
+    const stopped = daemon.stop('test')
+    await time.advance(10_000)
+    await stopped
+  })
+  await time.advance(1000)
+  const [, port] = settings.listen.callers.split(':')
+  const call = (): Promise<IncomingMessage> =>
+    new Promise((resolve, reject) => {
+      request(
+        {
+          host: ip,
+          port,
+          path: '/notes/1',
+          headers: {
+            host: 'shop.example',
+            connection: 'keep-alive',
+            ...callerHeaders({ requestId: 'r', deadlineMs: 3000 }),
+          },
+        },
+        (incoming) => {
+          incoming.resume().once('end', () => {
+            resolve(incoming)
+          })
+        },
+      )
+        .once('error', reject)
+        .end()
+    })
+  return { time, view, daemon, call }
+}
+
+// Hosts of a domain that was cut off while its own targets were taken out stayed in the load balancer and refused all callers.
+test('a host that is cut off with no target of its own domain is not ready, and sends its callers away', async (t) => {
+  const { time, view, daemon, call } = await startHost(t)
+  assert.equal(daemon.isReady, true)
+  view.isRefused = true
+  await time.advance(2000)
+  assert.equal(daemon.isReady, true, 'the store alone is away')
+  for (let index = 0; index < 4; index += 1) assert.equal((await call()).statusCode, 503)
+  assert.equal(daemon.isReady, false)
+  assert.equal((await call()).headers.connection, 'close')
+  view.isRefused = false
+  await time.advance(2000)
+  assert.equal(daemon.isReady, true)
+})
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -22,6 +22,7 @@
 import { GatewayMetrics } from './metrics.js'
 import { encodeHost, isRenewalOnly, ownKeys } from './own-rows.js'
 import { PeerServer, type PeerHandler } from './peer-server.js'
+import { Reachability } from './reachability.js'
 import { Relay, RelayedStore, relayPath, type RelayedTable } from './relay.js'
 import { Replica, type ReplicaChange } from './replica.js'
 import { StatusServer } from './status-server.js'
@@ -58,6 +59,7 @@
   readonly #logger: Logger
   readonly #store: RowStore
   readonly #directory: Directory
+  readonly #reachability: Reachability
   readonly #targets: TargetTable
   readonly #dispatcher: Dispatcher
   readonly #callers: CallerServer
@@ -86,11 +88,19 @@
     this.#directory = new Directory({ clock, logger, heartbeatMs: settings.heartbeatMs })
     const directory = this.#directory
     const speeds = new TargetSpeeds()
+    this.#reachability = new Reachability({
+      clock,
+      logger,
+      directory,
+      domain,
+      isStoreAway: () => [...this.#tables.values()].every(({ replica }) => replica.isFailing),
+    })
     this.#targets = new TargetTable({
       clock,
       logger,
       directory,
       hostName,
+      reachability: this.#reachability,
       observeOccupancy: (target, occupancy) => {
         this.#reports.observeOccupancy(target, occupancy)
       },
@@ -126,7 +136,13 @@
       },
       admittedShare: (target) => this.#reports.share(target),
     })
-    this.#callers = new CallerServer({ clock, logger, directory, dispatcher: this.#dispatcher })
+    this.#callers = new CallerServer({
+      clock,
+      logger,
+      directory,
+      dispatcher: this.#dispatcher,
+      sendsAway: () => this.#reachability.isCutOff,
+    })
     this.#leadership = new Leadership({
       clock,
       logger,
@@ -233,7 +249,8 @@
 
   get isReady(): boolean {
     const { routes, isRegisterKnown, isOwnTableKnown } = this.#directory
-    return !this.#draining && routes !== undefined && isRegisterKnown && isOwnTableKnown
+    const isComplete = routes !== undefined && isRegisterKnown && isOwnTableKnown
+    return !this.#draining && isComplete && !this.#reachability.isCutOff
   }
 
   async start(): Promise<void> {
@@ -269,6 +286,7 @@
     for (const { replica } of this.#tables.values()) replica.stop()
     this.#peers.close()
     this.#reports.stop()
+    this.#reachability.stop()
     this.#readiness.close()
     this.#metricsServer.close()
     this.#logger.info('daemon.stopped', { cut, tookMs: this.#clock.monotonicMs() - startedMs })
--- /dev/null
+++ b/packages/gateway/src/reachability.ts
@@ -0,0 +1,148 @@
+/**
+ * Notices that this host can serve nobody: the store and the hosts that it follows give no copy of the tables any more,
+ * connections to targets fail in every other domain, and its own domain has no usable target of some service. Its callers
+ * are better served by a host that is not cut off, so it says that it is not ready until one of the other domains answers
+ * again, or the tables are current again. A host whose own domain has targets of every service stays: the targets of the
+ * other domains, without those of the lost one, would have to serve its callers too.
+ */
+import { connect } from 'node:net'
+import type { Cancel, Clock, Logger } from '@pimentotally/core'
+import { splitAddress } from '@pimentotally/http'
+import type { Directory, KnownTarget } from './directory.js'
+
+/** One target may have crashed alone. */
+const failedTargetsOfLostDomain = 2
+/** Where there is only one other domain, its own loss cannot be told from a cut. */
+const minOtherDomains = 2
+/** The load balancer asks for the readiness once a second. */
+const recheckMs = 1000
+const recheckTimeoutMs = 400
+
+/** Whether a connection to the address could be opened. */
+export type ConnectionProbe = (address: string) => Promise<boolean>
+
+export interface ReachabilityOptions {
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly directory: Directory
+  /** The failure domain of this host. */
+  readonly domain: string
+  /** Whether this host gets no copy of any table, neither from the store nor from another host. */
+  readonly isStoreAway: () => boolean
+  readonly probe?: ConnectionProbe
+}
+
+const opensConnection: ConnectionProbe = (address) =>
+  new Promise((resolve) => {
+    const socket = connect({ ...splitAddress(address), timeout: recheckTimeoutMs })
+    const end = (isOpen: boolean): void => {
+      socket.destroy()
+      resolve(isOpen)
+    }
+    socket.once('connect', () => {
+      end(true)
+    })
+    socket.once('timeout', () => {
+      end(false)
+    })
+    socket.once('error', () => {
+      end(false)
+    })
+  })
+
+export class Reachability {
+  readonly #options: Required<ReachabilityOptions>
+  /** Targets that could not be connected to since any target of their domain last answered. */
+  readonly #failedByDomain = new Map<string, Set<string>>()
+  #wasCutOff = false
+  #cancelRecheck: Cancel | undefined
+  #rechecks = 0
+
+  constructor({ probe = opensConnection, ...options }: ReachabilityOptions) {
+    this.#options = { ...options, probe }
+  }
+
+  /** A target of the domain has sent bytes, or accepted a connection. */
+  answered(domain: string): void {
+    this.#failedByDomain.delete(domain)
+  }
+
+  connectFailed(target: KnownTarget): void {
+    const failed = this.#failedByDomain.get(target.domain) ?? new Set<string>()
+    this.#failedByDomain.set(target.domain, failed.add(target.id))
+  }
+
+  get isCutOff(): boolean {
+    const isCutOff = this.#isCutOff()
+    if (isCutOff !== this.#wasCutOff) this.#changed(isCutOff)
+    return isCutOff
+  }
+
+  stop(): void {
+    this.#cancelRecheck?.()
+  }
+
+  #isCutOff(): boolean {
+    if (this.#failedByDomain.size === 0 || !this.#options.isStoreAway()) return false
+    const { directory } = this.#options
+    const others = this.#otherDomains()
+    const tried = others.filter((domain) => !directory.isEvacuated(domain))
+    const isAlone = tried.length > 0 && tried.every((domain) => this.#isLost(domain))
+    return others.length >= minOtherDomains && isAlone && !this.#canServeAlone()
+  }
+
+  /** Whether the own domain has a usable target of every service. */
+  #canServeAlone(): boolean {
+    const { directory, domain: own } = this.#options
+    return [...(directory.routes?.configuration.services.keys() ?? [])].every((service) =>
+      directory.targets(service).some((target) => target.domain === own && directory.isUsable(target)),
+    )
+  }
+
+  #otherDomains(): string[] {
+    return [...this.#targetsByDomain().keys()].filter((domain) => domain !== this.#options.domain)
+  }
+
+  #targetsByDomain(): Map<string, KnownTarget[]> {
+    const { directory } = this.#options
+    const byDomain = new Map<string, KnownTarget[]>()
+    for (const service of directory.routes?.configuration.services.keys() ?? []) {
+      for (const target of directory.targets(service)) {
+        byDomain.set(target.domain, [...(byDomain.get(target.domain) ?? []), target])
+      }
+    }
+    return byDomain
+  }
+
+  #isLost(domain: string): boolean {
+    return (this.#failedByDomain.get(domain)?.size ?? 0) >= failedTargetsOfLostDomain
+  }
+
+  #changed(isCutOff: boolean): void {
+    this.#wasCutOff = isCutOff
+    this.#options.logger.warn(isCutOff ? 'host.cut_off' : 'host.in_touch', {
+      domains: [...this.#failedByDomain.keys()],
+    })
+    if (isCutOff) this.#scheduleRecheck()
+    else this.#cancelRecheck?.()
+  }
+
+  /** Without callers no request shows that the other domains are back. */
+  #scheduleRecheck(): void {
+    this.#cancelRecheck = this.#options.clock.schedule(recheckMs, () => {
+      void this.#recheck().then(() => {
+        if (this.isCutOff) this.#scheduleRecheck()
+      })
+    })
+  }
+
+  /** Asks another target of each domain every time, as some may have ended meanwhile. */
+  async #recheck(): Promise<void> {
+    this.#rechecks += 1
+    const checks = [...this.#targetsByDomain()].map(async ([domain, targets]) => {
+      const target = targets[this.#rechecks % targets.length]
+      if (target !== undefined && (await this.#options.probe(target.address))) this.answered(domain)
+    })
+    await Promise.all(checks)
+  }
+}
--- a/packages/gateway/src/target-table.ts
+++ b/packages/gateway/src/target-table.ts
@@ -5,6 +5,7 @@
 import { readColdRemainingMs, readLoad } from '@pimentotally/platform'
 import { ColdSends, TargetLoad, coldShare, decay, type LoadReport, type Service } from '@pimentotally/routing'
 import type { Directory, KnownTarget } from './directory.js'
+import type { Reachability } from './reachability.js'
 import type { LostReason } from './target-exchange.js'
 
 /** Targets close idle connections after ten seconds or more; shorter avoids the race. */
@@ -39,6 +40,8 @@
   readonly hostName: string
   /** Takes each report of a target's queue. */
   readonly observeOccupancy?: (target: string, occupancy: number) => void
+  /** Is told which targets answer, and which cannot be connected to. */
+  readonly reachability?: Reachability
   /** Mean number of requests at a target of the service, over all hosts; undefined while it is not known. */
   readonly meanOccupancy?: (service: string) => number | undefined
 }
@@ -171,6 +174,7 @@
     observed.connectFailures += 1
     observed.pausedUntilMs = nowMs + pauseMs
     observed.load.failed(nowMs)
+    this.#options.reachability?.connectFailed(target)
     this.#options.logger.warn('target.connect_failed', {
       target: target.id,
       address: target.address,
@@ -184,6 +188,7 @@
   responded(target: KnownTarget, service: Service, headers: IncomingHttpHeaders, failed: boolean): void {
     const nowMs = this.#options.clock.monotonicMs()
     const observed = this.of(target.id)
+    this.#options.reachability?.answered(target.domain)
     // A target that answers after failed connections may have started anew, and counts as cold until it reports.
     if (observed.connectFailures > 0) observed.coldUntilMs = nowMs + service.coldStartMs
     observed.connectFailures = 0
