--- a/packages/gateway/src/testing-world.ts
+++ b/packages/gateway/src/testing-world.ts
@@ -33,7 +33,7 @@
 export const service = 'notes'
 const heartbeatMs = 900
 /** An entry without heartbeats is removed after this time. */
-const entryLapseMs = 3 * heartbeatMs
+export const entryLapseMs = 3 * heartbeatMs
 const maxHoldMs = 10_000
 /** Grants that arrive this soon after their sender was paused don't count for the promises. */
 const thawSlackMs = 300
@@ -279,6 +279,7 @@
   readonly hosts: WorldHost[]
   readonly targets: FakeTarget[]
   readonly violations: string[] = []
+  readonly #seen = new Set<string>()
   /** Targets that write no heartbeats, though hosts still reach them. */
   readonly isCutFromStore = new Set<FakeTarget>()
   /** Requests that run or wait at a target, as hosts report it. */
@@ -326,7 +327,7 @@
         (taken) => taken.id !== id && taken.fence >= fence && overlap(taken.range, call),
       )
       if (above !== undefined) {
-        this.violations.push(`${id} took ${String(from)} with fence ${String(fence)} after ${above.id}`)
+        this.#violate(`${id} took ${String(from)} with fence ${String(fence)} after ${above.id}`)
       }
       const range = { from, to }
       this.#fences.set(`${lifeOf(id, born)}:${String(from)}-${String(to)}:${String(fence)}`, {
@@ -520,6 +521,8 @@
   }
 
   #violate(message: string): void {
+    if (this.#seen.has(message)) return
+    this.#seen.add(message)
     this.violations.push(`${String(this.time.nowMs())} ms: ${message}`)
   }
 
