--- a/packages/gateway/src/ownership-faults.test.ts
+++ b/packages/gateway/src/ownership-faults.test.ts
@@ -1,11 +1,12 @@
 /**
  * Ownership of keys under random faults, in virtual time. Guards against two targets that hold one key, fences that do
  * not rise, and keys that stay without an owner after the faults have ended. A failing run prints its seed and faults.
+ * With FAULTS_SHRINK they are shrunk. The last test takes its seed and number of runs from FAULTS_SEED and FAULTS_RUNS.
  */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import fc from 'fast-check'
-import { inject, type Fault, type FaultKind } from './testing-faults.js'
+import { inject, longestEffectMs, type Fault, type FaultKind } from './testing-faults.js'
 import { OwnershipWorld } from './testing-world.js'
 
 /** All targets hold their keys from here on. */
@@ -13,6 +14,9 @@
 /** Longer than the longest hold, a takeover and the moves after it. */
 const healingMs = 16_000
 
+/** Shrinking takes minutes, so it is left to runs by hand. */
+const endOnFailure = process.env['FAULTS_SHRINK'] === undefined
+
 const kinds: readonly FaultKind[] = [
   'killLeader',
   'pauseLeader',
@@ -37,15 +41,89 @@
     index: fc.nat(5),
   })
 
-const assertOwnedUnderFaults = async (seed: number, faults: readonly Fault[]): Promise<void> => {
+/** Chains of leaders are frequent, with a slow store and leaving targets in them. */
+const dayKinds: Readonly<Partial<Record<FaultKind, number>>> = {
+  leaderChain: 8,
+  stopLeader: 2,
+  restartLeader: 2,
+  stopHost: 1,
+  pauseLeader: 2,
+  pauseHost: 1,
+  clocksSet: 2,
+  storeSlow: 3,
+  storeFalters: 5,
+  workLong: 3,
+  storeDown: 1,
+  leaderRefused: 1,
+  someRefused: 2,
+  writesLost: 1,
+  writesLate: 2,
+  feedBehind: 2,
+  rowsHidden: 2,
+  historyLost: 1,
+  heartbeatsLate: 2,
+  ordersLate: 2,
+  answersSlow: 2,
+  silent: 2,
+  cutOff: 2,
+  mute: 3,
+  crash: 1,
+  restartSameId: 2,
+  restartNewId: 1,
+  restartAfterRelease: 2,
+  drain: 2,
+  vanish: 1,
+  leaveWithLeader: 2,
+  leavesWithLateEntry: 2,
+  earlierEntry: 2,
+  addressReused: 2,
+}
+
+const dayFault: fc.Arbitrary<Fault> = fc.record({
+  kind: fc.oneof(
+    ...Object.entries(dayKinds).map(([kind, weight]) => ({
+      weight,
+      arbitrary: fc.constant(kind as FaultKind),
+    })),
+  ),
+  atMs: fc.integer({ min: 0, max: 8000 }),
+  forMs: fc.integer({ min: 100, max: 9000 }),
+  index: fc.nat(0xffff),
+})
+
+const firstFault: fc.Arbitrary<Fault> = fc.record({
+  kind: fc.constantFrom('leaderChain', 'leaderChain', 'storeFalters'),
+  atMs: fc.integer({ min: 0, max: 4000 }),
+  forMs: fc.constant(6000),
+  index: fc.integer({ min: 0, max: 0xffff }),
+})
+
+/** Among many faults few holds outlast a chain of leaders, so most runs have a chain or a late renewal and little else. */
+const dayFaults = fc.oneof(
+  { weight: 2, arbitrary: fc.array(dayFault, { minLength: 2, maxLength: 8 }) },
+  {
+    weight: 3,
+    arbitrary: fc
+      .tuple(firstFault, fc.array(dayFault, { maxLength: 2 }))
+      .map(([first, others]): readonly Fault[] => [first, ...others]),
+  },
+)
+
+const assertOwnedUnderFaults = async (
+  seed: number,
+  faults: readonly Fault[],
+  effectMs = 0,
+): Promise<OwnershipWorld> => {
   const world = new OwnershipWorld({ seed, targets: 5 })
   await world.advance(settledMs)
   assert.deepEqual(world.unheld(), [], 'keys without an owner after the start')
   for (const fault of faults) inject(world, fault)
-  const lastMs = Math.max(...faults.map(({ atMs, forMs }) => atMs + forMs))
+  const lastMs = Math.max(...faults.map(({ atMs, forMs }) => atMs + Math.max(forMs, effectMs)))
   await world.advance(lastMs + healingMs)
   assert.deepEqual(world.violations, [])
   assert.deepEqual(world.unheld(), [], 'keys without an owner')
+  assert.deepEqual(world.staleFences(), [], 'a new process with the fences of the one before')
+  return world
 }
 
 test('random faults together: one owner for each key, rising fences, and owners again after all healed', async () => {
@@ -53,9 +131,11 @@
     fc.asyncProperty(
       fc.nat(1e6),
       fc.array(faultsOf(kinds), { minLength: 1, maxLength: 4 }),
-      assertOwnedUnderFaults,
+      async (seed, faults) => {
+        await assertOwnedUnderFaults(seed, faults)
+      },
     ),
-    { seed: 5, numRuns: 60 },
+    { seed: 5, numRuns: 60, endOnFailure },
   )
 })
 
@@ -67,8 +147,28 @@
         minLength: 2,
         maxLength: 4,
       }),
-      assertOwnedUnderFaults,
+      async (seed, faults) => {
+        await assertOwnedUnderFaults(seed, faults)
+      },
     ),
-    { seed: 7, numRuns: 60 },
+    { seed: 7, numRuns: 60, endOnFailure },
+  )
+})
+
+test('faults of whole days, with chains of leaders: one owner for each key, and owners again', async (context) => {
+  let runs = 0
+  let chains = 0
+  await fc.assert(
+    fc.asyncProperty(fc.nat(1e6), dayFaults, async (seed, faults) => {
+      const world = await assertOwnedUnderFaults(seed, faults, longestEffectMs)
+      runs += 1
+      if (world.hasLeaderChain(10_000)) chains += 1
+    }),
+    {
+      seed: Number(process.env['FAULTS_SEED'] ?? 22),
+      numRuns: Number(process.env['FAULTS_RUNS'] ?? 100),
+      endOnFailure,
+    },
   )
+  context.diagnostic(`three leaders within 10 s in ${String(chains)} of ${String(runs)} runs`)
 })
