--- a/packages/gateway/src/ownership-bounds.test.ts
+++ b/packages/gateway/src/ownership-bounds.test.ts
@@ -71,6 +71,22 @@
   assert.deepEqual(failures, [])
 })
 
+test('one host leads at a time when a leader that was turned away before its first renewal takes the lease again', async () => {
+  for (let seed = 1; seed <= 8; seed += 1) {
+    const world = new OwnershipWorld({ seed, targets: 5, hosts: 4 })
+    await world.advance(6000)
+    world.leader()?.kill()
+    for (let ms = 0; ms < 4000 && world.leader() === undefined; ms += 25) await world.advance(25)
+    const leader = world.leader()
+    assert.ok(leader)
+    leader.store.isRefused = true
+    await world.advance(2000)
+    leader.store.isRefused = false
+    await world.advance(5000)
+    assert.deepEqual(world.violations, [], `seed ${String(seed)}`)
+  }
+})
+
 test('keys whose first grant is under way have one owner when that owner leaves', async () => {
   const failures: string[] = []
   for (let seed = 1; seed <= 40; seed += 1) {
--- a/scripts/check-defences.mjs
+++ b/scripts/check-defences.mjs
@@ -18,7 +18,7 @@
 const packages = [...copied, 'packages/gateway', 'platform']
 
 const suites = {
-  directed: ['ownership', 'ownership-findings', 'directory'],
+  directed: ['ownership', 'ownership-bounds', 'target-grants', 'directory'],
   random: ['ownership-faults'],
 }
 
@@ -66,7 +66,26 @@
   },
   {
     name: 'a grant without an answer does not count',
-    changes: [[gateway('target-grants'), "if (result.error.code !== 'not_sent')", 'if (false)']],
+    changes: [[gateway('target-grants'), "if (result.error.code === 'not_sent')", 'if (true)']],
+  },
+  {
+    name: 'a grant under way does not count',
+    changes: [[assignment('holds'), 'this.#underWay > 0 ? Infinity : this.#lapsesAtMs', 'this.#lapsesAtMs']],
+  },
+  {
+    name: 'the process at an owner’s address is not asked',
+    changes: [[gateway('former-owners'), 'this.#replaced.has(id) &&', '']],
+  },
+  {
+    name: 'a lease that its last holder takes again does not count anew',
+    changes: [
+      [assignment('election'), 'known.term === record.term &&', ''],
+      [
+        gateway('leadership'),
+        'this.#renewals += 1;',
+        'this.#renewals = this.#tenure === undefined ? 1 : this.#renewals + 1;',
+      ],
+    ],
   },
   {
     name: 'a release is not asked for',
