--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -388,6 +388,16 @@
         help: 'Rows of the store that could not be read',
         read: () => directory.malformedRows,
       },
+      {
+        name: 'pimentotally_limited_targets',
+        help: 'Targets that name a limit on their requests',
+        read: () => this.#targets.limits.limitedTargets,
+      },
+      {
+        name: 'pimentotally_unusable_limits_total',
+        help: 'Responses of targets with a limit that could not be used',
+        read: () => this.#targets.limits.unusableLimits,
+      },
       {
         name: 'pimentotally_store_age_seconds',
         help: 'Age of the oldest replica of the store',
--- a/packages/gateway/src/proxied-request.ts
+++ b/packages/gateway/src/proxied-request.ts
@@ -274,7 +274,12 @@
       targets.lost(target.id, result.reason)
     } else {
       const failed = result.notExecuted || result.status >= 500
-      targets.responded(target, service, result.incoming.headers, failed)
+      const { headers } = result.incoming
+      const misdirected = isMisdirected(result.status)
+      // Without keys, only another target at the same address responds so.
+      if (!misdirected || service.isSharded)
+        targets.limits.observe(target, { headers, sentAtMs, misdirected })
+      targets.responded(target, service, headers, failed)
       if (failed) return
       const expectedMs = this.#dispatcher.routeWorkMs(route)
       const { load } = targets.of(target.id)
--- a/packages/gateway/src/target-observations.ts
+++ b/packages/gateway/src/target-observations.ts
@@ -17,6 +17,7 @@
 import type { Directory, KnownTarget } from './directory.js'
 import type { Reachability } from './reachability.js'
 import type { LostReason } from './target-exchange.js'
+import { TargetLimits } from './target-limits.js'
 
 /**
  * Idle connections to targets are closed after this time. Targets close them after ten seconds or more;
@@ -101,9 +102,12 @@
   readonly #options: TargetObservationsOptions
   readonly #observed = new Map<string, ObservedTarget>()
   readonly #averageByService = new Map<string, { readonly occupancy: number; readonly atMs: number }>()
+  /** The limits on requests that targets name. */
+  readonly limits: TargetLimits
 
   constructor(options: TargetObservationsOptions) {
     this.#options = options
+    this.limits = new TargetLimits(options)
   }
 
   /** What is known of the target; starts anew for one that was not seen before. */
@@ -292,5 +296,6 @@
       observed.agent?.dropIdle()
       this.#observed.delete(id)
     }
+    this.limits.dropRemovedTargets()
   }
 }
