--- a/packages/core/src/testing.ts
+++ b/packages/core/src/testing.ts
@@ -2,6 +2,8 @@
 import { createClock, type Clock as FakeTimeline } from '@sinonjs/fake-timers'
 import { Clock, type Cancel } from './clock.js'
 
+export { RateCheck } from './rate-check.js'
+
 /** The timeline of a test. All its clocks advance together. */
 export class VirtualTime {
   readonly #timeline: FakeTimeline = createClock(1_700_000_000_000)
