Keep within the limit that a target names, over all hosts together

Cause: nothing read the limit, so no host counted. The class of fault is a quantity of a target that binds all hosts together and that no host divides.

Change: the limit is divided, without a message before a request, among not more hosts than requests a second, picked by rendezvous hashing as for cold targets (now one function); each has a token bucket that holds one request or a second's share. The picked hosts may be gone or have no callers, so when nothing was heard of the target for 5 s the next ones may send, and so on. Reports and guidance tell what was heard of limits, so that hosts that must not send learn of a change; an older statement never replaces a newer one. Every send counts: retries and hedges too. The choice of a target without keys passes over one whose share is used up; a request for its keys is refused at once, each with a later time than the one before, and urgent ones go first.

Tried before: one request a host and moment for every host exceeds the limit with 195 hosts (the burst alone); fixed whole numbers a host, as for cold targets, leave most hosts with none and hear no end of the limit.

With the limits 0.5 to 20 an owner gets 0.6 to 1.3 of its limit with ten hosts.

--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -133,6 +133,7 @@
       adoptSpeeds: (factors) => {
         this.#targets.adoptSpeeds(factors)
       },
+      limits: this.#targets.limits,
     })
     this.#dispatcher = new Dispatcher({
       clock,
--- a/packages/gateway/src/peer-reports.test.ts
+++ b/packages/gateway/src/peer-reports.test.ts
@@ -8,6 +8,7 @@
 import { Directory } from './directory.js'
 import { encodeLeader, routerStateKeys } from './router-state-rows.js'
 import { PeerReports, reportIntervalMs } from './peer-reports.js'
+import { TargetLimits } from './target-limits.js'
 
 interface ReportingHost {
   readonly reports: PeerReports
@@ -51,6 +52,7 @@
       speeds,
       shares: () => state.shares,
       adoptSpeeds: (factors) => Object.assign(state.adopted, factors),
+      limits: new TargetLimits({ clock, logger, directory, hostName: 'h' }),
     }),
   }
   void state.reports.run()
@@ -89,9 +91,23 @@
     speeds: { t: [4, 2] },
     occupancy: {},
     speedsVersion: '',
+    limits: [],
   })
 })
 
+const limit = { target: 't', startedAtEpochMs: 1000, requestsPerSecond: 2, ageMs: 0 }
+
+test('the limit of a target reaches hosts that got no response from it', async (t) => {
+  const time = new VirtualTime()
+  const leader = start(t, time, 'h')
+  await time.advance(400)
+  leader.reports.receive(JSON.stringify({ ...empty, limits: [limit] }))
+  await time.advance(400)
+  const { body } = leader.reports.receive(JSON.stringify(empty))
+  const { limits } = JSON.parse(body?.toString() ?? '') as { limits: unknown }
+  assert.deepEqual(limits, [{ ...limit, ageMs: 400 }])
+})
+
 test('guidance expires when none arrives from the leader any more', async (t) => {
   const time = new VirtualTime()
   const state = start(t, time, 'h')
@@ -131,6 +147,9 @@
     JSON.stringify({ ...empty, keys: { notes: [[1]] } }),
     JSON.stringify({ ...empty, speeds: { t: ['x', 1] } }),
     JSON.stringify({ ...empty, occupancy: [] }),
+    JSON.stringify({ ...empty, limits: {} }),
+    JSON.stringify({ ...empty, limits: [{ ...limit, requestsPerSecond: -1 }] }),
+    JSON.stringify({ ...empty, limits: [{ ...limit, ageMs: null }] }),
     JSON.stringify({ keys: {}, speeds: {}, occupancy: {} }),
   ]) {
     assert.equal(reports.receive(malformed).status, 400, malformed)
--- a/packages/gateway/src/peer-reports.ts
+++ b/packages/gateway/src/peer-reports.ts
@@ -3,7 +3,7 @@
  * targets, to the leader or to a host on the way to it; a host that does not lead adds the reports that it
  * receives to its own next one. The response is the guidance that the leader computes from all reports: the
  * share of the requests that each overloaded owner may be sent, the mean number of requests at a target of
- * each service, and the speed of each target. Load pattern: a hundred hosts, each of which gets a response
+ * each service, and the speed of each target. Reports and responses also tell the limits that targets name. Load pattern: a hundred hosts, each of which gets a response
  * from a given target every ten seconds.
  */
 import type { Clock, Logger } from '@pimentotally/core'
@@ -12,6 +12,7 @@
 import { MeanOccupancy } from '@pimentotally/routing'
 import type { Directory } from './directory.js'
 import type { PeerResponse } from './peer-server.js'
+import { isLimitStatement, type LimitStatement, type TargetLimits } from './target-limits.js'
 
 /** Shortest interval between reports of a host; within a second, the leader notices a key that turns hot. */
 const minReportIntervalMs = 350
@@ -52,6 +53,8 @@
   readonly shares: () => Record<string, number>
   /** Takes the factors on the work time that all hosts observed, by target. */
   readonly adoptSpeeds: (factors: Readonly<Record<string, number>>) => void
+  /** The limits that targets name. */
+  readonly limits: Pick<TargetLimits, 'statements' | 'merge'>
 }
 
 type SumAndCount = readonly [sum: number, count: number]
@@ -65,6 +68,8 @@
   readonly occupancy: Readonly<Record<string, SumAndCount>>
   /** Version of the speeds that the reporting host has; empty for none. */
   readonly speedsVersion: string
+  /** Absent in reports of earlier versions of the router. */
+  readonly limits?: readonly LimitStatement[]
 }
 
 interface Guidance {
@@ -75,6 +80,8 @@
   readonly speedsVersion: string
   /** Factors on the work time by target; left out for a host that has this version. */
   readonly speeds?: Readonly<Record<string, number>>
+  /** Absent in responses of earlier versions of the router. */
+  readonly limits?: readonly LimitStatement[]
 }
 
 const isRecordOf = (value: unknown, isItem: (item: unknown) => boolean): boolean =>
@@ -83,22 +90,29 @@
 const isPair = (value: unknown): boolean =>
   Array.isArray(value) && value.length === 2 && value.every((part) => Number.isFinite(part))
 
+const areLimits = (value: unknown): boolean =>
+  value === undefined || (Array.isArray(value) && value.every(isLimitStatement))
+
 const isPeerReport = (value: unknown): value is PeerReport => {
-  const { keys, speeds, occupancy, speedsVersion } = (value ?? {}) as Partial<Record<string, unknown>>
+  const { keys, speeds, occupancy, speedsVersion, limits } = (value ?? {}) as Partial<Record<string, unknown>>
   return (
     isRecordOf(keys, (pairs) => Array.isArray(pairs) && pairs.every(isPair)) &&
     isRecordOf(speeds, isPair) &&
     isRecordOf(occupancy, isPair) &&
-    typeof speedsVersion === 'string'
+    typeof speedsVersion === 'string' &&
+    areLimits(limits)
   )
 }
 
 const isGuidance = (value: unknown): value is Guidance => {
-  const { shares, occupancy, speedsVersion, speeds } = (value ?? {}) as Partial<Record<string, unknown>>
+  const { shares, occupancy, speedsVersion, speeds, limits } = (value ?? {}) as Partial<
+    Record<string, unknown>
+  >
   return (
     isRecordOf(shares, Number.isFinite) &&
     isRecordOf(occupancy, Number.isFinite) &&
     typeof speedsVersion === 'string' &&
+    areLimits(limits) &&
     (speeds === undefined || isRecordOf(speeds, Number.isFinite))
   )
 }
@@ -234,10 +248,12 @@
       this.#options.logger.warn('load.report_malformed', { bytes: text.length })
       return { status: 400 }
     }
+    this.#options.limits.merge(report.limits ?? [])
     if (this.#isLeader()) this.#addToTotals(report)
     else this.#addToNextReport(report)
     if (!this.#hasCurrentGuidance()) return { status: 503 }
-    const { speeds, ...rest } = this.#guidance
+    const { speeds, ...guidance } = this.#guidance
+    const rest = { ...guidance, limits: this.#options.limits.statements() }
     const hasLatestSpeeds = report.speedsVersion === rest.speedsVersion
     return { status: 200, body: JSON.stringify(hasLatestSpeeds ? rest : { ...rest, speeds }) }
   }
@@ -258,6 +274,7 @@
       speeds: Object.fromEntries(this.#speeds),
       occupancy: Object.fromEntries(this.#occupancy),
       speedsVersion: this.#guidance.speedsVersion,
+      limits: this.#options.limits.statements(),
     }
     this.#counts.clear()
     this.#speeds.clear()
@@ -274,7 +291,9 @@
     }
     // If this host leads later, it goes on from these speeds.
     this.#options.speeds.setFactors(guidance.speeds ?? {})
-    this.#setGuidance({ ...guidance, speeds: guidance.speeds ?? this.#guidance.speeds ?? {} })
+    const { limits = [], ...rest } = guidance
+    this.#options.limits.merge(limits)
+    this.#setGuidance({ ...rest, speeds: guidance.speeds ?? this.#guidance.speeds ?? {} })
   }
 
   /** Computes new guidance, while this host leads. */
--- a/packages/gateway/src/target-limits.test.ts
+++ b/packages/gateway/src/target-limits.test.ts
@@ -3,9 +3,35 @@
 import { test } from 'node:test'
 import { RateCheck } from '@pimentotally/core/testing'
 import { answerHeaders, requestIdOf } from '@pimentotally/platform/testing'
-import { LimitWorld } from './testing-limits.js'
+import { RequestLimiter } from '@pimentotally/routing'
+import type { KnownTarget } from './directory.js'
+import { LimitWorld, type WorldHost } from './testing-limits.js'
 import { TestGateway, startTarget } from './testing-gateway.js'
 
+/** A deployment of one host, and the target that owns all keys. */
+const singleHost = (): {
+  readonly world: LimitWorld
+  readonly host: WorldHost
+  readonly target: KnownTarget
+} => {
+  const world = new LimitWorld({ seed: 1, hosts: 1 })
+  const host = world.hosts[0]
+  const target = host?.directory.target('t0')
+  if (host === undefined || target === undefined) throw new Error('the world has no host or no target')
+  return { world, host, target }
+}
+
+/** The host gets a response of the target. */
+const observe = (
+  { targets, directory }: WorldHost,
+  { requestLimit, sentAtMs }: { readonly requestLimit?: string; readonly sentAtMs: number },
+): void => {
+  const target = directory.target('t0')
+  if (target !== undefined) {
+    targets.limits.observe(target, { headers: answerHeaders('r', { requestLimit }), sentAtMs })
+  }
+}
+
 test('the check of a limit finds requests beyond it', () => {
   const check = new RateCheck()
   check.limit(0, 1)
@@ -56,3 +82,130 @@
   }
   assert.ok(statuses.includes(503), 'the others are refused at once')
 })
+
+for (const [hosts, limit] of [
+  [10, 1],
+  [10, 3.5],
+  [195, 1],
+] as const) {
+  test(`${String(hosts)} hosts that know only some of the others, and restart, do not exceed a limit of ${String(limit)} a second`, async () => {
+    const world = new LimitWorld({ seed: hosts + 1, hosts, requestsPerSecond: 60, missingHostShare: 0.05 })
+    world.limit(limit)
+    for (let round = 0; round < 8; round += 1) {
+      await world.run(5000)
+      const host = world.hosts[round % hosts]
+      if (host !== undefined) world.restart(host)
+    }
+    assert.ok(world.check.excess() <= 0, `${String(world.check.excess())} beyond what is allowed`)
+  })
+}
+
+for (const limit of [0.5, 1, 3.5, 20]) {
+  test(`an owner of keys gets most of the requests that its limit of ${String(limit)} a second allows`, async () => {
+    const world = new LimitWorld({ seed: 3, hosts: 10, requestsPerSecond: 60, reports: true })
+    world.limit(limit)
+    await world.run(10_000)
+    const before = world.received.limited
+    await world.run(20_000)
+    const share = (world.received.limited - before) / (20 * limit)
+    assert.ok(share > 0.6 && share < 1.3, `${String(share)} of the limit`)
+  })
+}
+
+test('requests are sent without limit again once a target names none any more', async () => {
+  const world = new LimitWorld({ seed: 4, hosts: 10, requestsPerSecond: 60, reports: true })
+  world.limit(2)
+  await world.run(10_000)
+  world.limit(undefined)
+  await world.run(2000)
+  const before = world.received.limited
+  await world.run(5000)
+  assert.ok(world.received.limited - before > 200, 'almost all of 60 requests a second')
+})
+
+test('a host that hears nothing from the others still learns that a limit has ended', async () => {
+  const world = new LimitWorld({ seed: 4, hosts: 10, requestsPerSecond: 60 })
+  world.limit(2)
+  await world.run(10_000)
+  world.limit(undefined)
+  await world.run(60_000)
+  const before = world.received.limited
+  await world.run(5000)
+  assert.ok(world.received.limited - before > 200, 'almost all of 60 requests a second')
+})
+
+test('keys are served although the hosts that may send to their limited owner are gone', async () => {
+  const world = new LimitWorld({ seed: 5, hosts: 10, requestsPerSecond: 60 })
+  world.limit(1)
+  await world.run(5000)
+  const sending = world.hosts.filter(({ targets, directory }) => {
+    const target = directory.target('t0')
+    return target !== undefined && Number.isFinite(targets.limits.waitMs(target, 0))
+  })
+  assert.equal(sending.length, 1)
+  for (const host of sending) host.clock.pause()
+  const before = world.received.limited
+  await world.run(30_000)
+  assert.ok(world.received.limited - before >= 3, 'other hosts take their place')
+  assert.ok(world.check.excess() <= 0)
+})
+
+test('a limit of an earlier process of the target does not bind the next one', async () => {
+  const world = new LimitWorld({ seed: 6, hosts: 3, requestsPerSecond: 60 })
+  world.limit(0.1)
+  await world.run(5000)
+  world.limit(undefined)
+  world.restartTarget()
+  const before = world.received.limited
+  await world.run(2000)
+  assert.ok(world.received.limited - before > 80, 'almost all of 60 requests a second')
+})
+
+test('a response to a request that was sent before the limit was named does not end the limit', () => {
+  const { host, target } = singleHost()
+  observe(host, { requestLimit: '1', sentAtMs: 0 })
+  observe(host, { sentAtMs: -1 })
+  assert.equal(host.targets.limits.requestsPerSecond(target), 1)
+  observe(host, { sentAtMs: 0 })
+  assert.equal(host.targets.limits.requestsPerSecond(target), undefined)
+})
+
+test('a limit that is not a number changes nothing and is counted', () => {
+  const { host, target } = singleHost()
+  observe(host, { requestLimit: '2', sentAtMs: 0 })
+  for (const requestLimit of ['', '-1', 'NaN', '1, 2', '9'.repeat(400)]) {
+    observe(host, { requestLimit, sentAtMs: 1 })
+  }
+  assert.equal(host.targets.limits.requestsPerSecond(target), 2)
+  assert.equal(host.targets.limits.unusableLimits, 5)
+})
+
+test('a target at a reused address neither sets nor ends the limit of a target without keys', async (t) => {
+  const limited = await startTarget(t, 'a', (request, response) => {
+    response
+      .writeHead(421, answerHeaders(requestIdOf(request), { notExecuted: true, requestLimit: '1' }))
+      .end()
+  })
+  const gateway = await TestGateway.start(t, [limited])
+  assert.equal((await gateway.call('/notes/1')).status, 503)
+  assert.equal(gateway.requestLimit('a'), undefined)
+})
+
+test('callers that are refused for a limit are told to come back one after another', () => {
+  const { world, host } = singleHost()
+  observe(host, { requestLimit: '2', sentAtMs: 0 })
+  for (let index = 0; index < 5; index += 1) world.request(host)
+  assert.deepEqual(world.retryAfterMs, [500, 1000, 1500, 2000, 2500])
+})
+
+test('a limited target is left to urgent requests while they are refused', () => {
+  const limiter = new RequestLimiter(0)
+  assert.equal(Math.round(limiter.waitMs(400, 2, 0)), 100)
+  limiter.refuse(400, 2, { waitMs: 100, rank: 0, maxMs: 4000 })
+  assert.equal(limiter.waitMs(600, 2, 0), 0)
+  assert.equal(
+    limiter.waitMs(600, 2, 1),
+    800,
+    'until a second has passed since an urgent request was refused',
+  )
+})
--- a/packages/gateway/src/target-limits.ts
+++ b/packages/gateway/src/target-limits.ts
@@ -1,14 +1,47 @@
 /**
  * The limits on requests that targets name in their responses. A limit holds for the process that named it,
- * until a response to a later request names another one or none.
+ * until a response to a later request names another one or none. Hosts tell each other what they heard last,
+ * because a host that must not send to a target gets no response that tells of a change.
  */
 import type { IncomingHttpHeaders } from 'node:http'
 import type { Clock, Logger } from '@pimentotally/core'
 import { readRequestLimit } from '@pimentotally/platform'
+import { RequestLimiter, hostRequestRate } from '@pimentotally/routing'
 import type { Directory, KnownTarget } from './directory.js'
 
 /** Changes of a target's limit are logged at most this often; a faulty target may name another one each time. */
 const logIntervalMs = 1000
+/** What was heard of a limit is told to other hosts for this long, and remembered after the limit's end. */
+const statementLifetimeMs = 30_000
+/** Most statements in one message; if more targets name a limit, the latest heard ones are told. */
+const maxStatements = 100
+
+/** What a host knows of a target's limit, as it tells other hosts. */
+export interface LimitStatement {
+  readonly target: string
+  /** Start of the target's process; null when its entry does not say. */
+  readonly startedAtEpochMs: number | null
+  /** Null when the target names no limit any more. */
+  readonly requestsPerSecond: number | null
+  /** Time since the response that tells it. */
+  readonly ageMs: number
+}
+
+const isNullOrNumber = (value: unknown): boolean => value === null || Number.isFinite(value)
+
+export const isLimitStatement = (value: unknown): value is LimitStatement => {
+  const { target, startedAtEpochMs, requestsPerSecond, ageMs } = (value ?? {}) as Partial<
+    Record<string, unknown>
+  >
+  return (
+    typeof target === 'string' &&
+    isNullOrNumber(startedAtEpochMs) &&
+    isNullOrNumber(requestsPerSecond) &&
+    Number(requestsPerSecond) >= 0 &&
+    typeof ageMs === 'number' &&
+    ageMs >= 0
+  )
+}
 
 /** What is known of the limit of one target's process. */
 interface KnownLimit {
@@ -17,6 +50,15 @@
   readonly requestsPerSecond: number | undefined
   /** When the latest response that tells the limit arrived. */
   readonly heardAtMs: number
+  /** Counts this host's requests while the limit lasts. */
+  readonly limiter: RequestLimiter
+}
+
+/** Why a request is refused, and when its caller may come back; undefined when this host cannot tell. */
+export interface LimitRefusal {
+  readonly retryAfterMs: number | undefined
+  /** What the decision is based on, for the log. */
+  readonly inputs: Readonly<Record<string, unknown>>
 }
 
 /** A response of a target, and when its request was sent. */
@@ -31,6 +73,7 @@
   readonly clock: Clock
   readonly logger: Logger
   readonly directory: Directory
+  readonly hostName: string
 }
 
 export class TargetLimits {
@@ -66,11 +109,68 @@
     this.#set(target, { requestsPerSecond, heardAtMs: this.#options.clock.monotonicMs() })
   }
 
+  /**
+   * Time until this host may send the target a request with this rank; 0 for a target that names no limit,
+   * Infinity when only other hosts may send to it.
+   */
+  waitMs(target: KnownTarget, rank: number): number {
+    const known = this.#of(target)
+    if (known?.requestsPerSecond === undefined) return 0
+    return known.limiter.waitMs(this.#options.clock.monotonicMs(), this.#rate(target, known), rank)
+  }
+
+  /** Records that a request is refused because of `waitMs`; no retry comes later than `maxRetryAfterMs`. */
+  refuse(target: KnownTarget, rank: number, maxRetryAfterMs: number): LimitRefusal {
+    const nowMs = this.#options.clock.monotonicMs()
+    const known = this.#of(target)
+    if (known === undefined) return { retryAfterMs: undefined, inputs: {} }
+    const hostRate = this.#rate(target, known)
+    const waitMs = known.limiter.waitMs(nowMs, hostRate, rank)
+    const inputs = { limit: known.requestsPerSecond, hostRate, limitAgeMs: nowMs - known.heardAtMs }
+    const retryAfterMs = Number.isFinite(waitMs)
+      ? known.limiter.refuse(nowMs, hostRate, { waitMs, rank, maxMs: maxRetryAfterMs })
+      : undefined
+    return { retryAfterMs, inputs }
+  }
+
+  /** Records that this host sends the target a request. */
+  recordSent(id: string): void {
+    this.#known.get(id)?.limiter.record()
+  }
+
   /** Requests a second that the target accepts from all hosts together; undefined when it names no limit. */
   requestsPerSecond(target: KnownTarget): number | undefined {
     return this.#of(target)?.requestsPerSecond
   }
 
+  /** What this host knows of limits, for other hosts. */
+  statements(): LimitStatement[] {
+    const nowMs = this.#options.clock.monotonicMs()
+    const heard = [...this.#known].filter(([, { heardAtMs }]) => nowMs - heardAtMs < statementLifetimeMs)
+    return heard
+      .sort(([, a], [, b]) => b.heardAtMs - a.heardAtMs)
+      .slice(0, maxStatements)
+      .map(([target, { startedAtEpochMs, requestsPerSecond, heardAtMs }]) => ({
+        target,
+        startedAtEpochMs: startedAtEpochMs ?? null,
+        requestsPerSecond: requestsPerSecond ?? null,
+        ageMs: nowMs - heardAtMs,
+      }))
+  }
+
+  /** Takes what another host knows, where it is newer. */
+  merge(statements: readonly LimitStatement[]): void {
+    const { clock, directory } = this.#options
+    const nowMs = clock.monotonicMs()
+    for (const { target: id, startedAtEpochMs, requestsPerSecond, ageMs } of statements) {
+      const target = directory.target(id)
+      if (target === undefined || target.startedAtEpochMs !== (startedAtEpochMs ?? undefined)) continue
+      const heardAtMs = nowMs - ageMs
+      if (ageMs > statementLifetimeMs || heardAtMs <= (this.#of(target)?.heardAtMs ?? -Infinity)) continue
+      this.#set(target, { requestsPerSecond: requestsPerSecond ?? undefined, heardAtMs })
+    }
+  }
+
   /** Drops what is known of targets that have left the target registry. */
   dropRemovedTargets(): void {
     for (const id of this.#known.keys()) {
@@ -80,18 +180,37 @@
     }
   }
 
+  /** This host's part of the target's limit, in requests a second. */
+  #rate({ id }: KnownTarget, { requestsPerSecond = 0, heardAtMs }: KnownLimit): number {
+    const { clock, hostName, directory } = this.#options
+    return hostRequestRate({
+      requestsPerSecond,
+      targetId: id,
+      hostName,
+      hostNames: directory.hostNames,
+      silentMs: clock.monotonicMs() - heardAtMs,
+    })
+  }
+
   /** Undefined also when what is known is about another process of the target. */
   #of({ id, startedAtEpochMs }: KnownTarget): KnownLimit | undefined {
     const known = this.#known.get(id)
     return known?.startedAtEpochMs === startedAtEpochMs ? known : undefined
   }
 
-  #set(target: KnownTarget, { requestsPerSecond, heardAtMs }: Omit<KnownLimit, 'startedAtEpochMs'>): void {
+  #set(
+    target: KnownTarget,
+    { requestsPerSecond, heardAtMs }: Pick<KnownLimit, 'requestsPerSecond' | 'heardAtMs'>,
+  ): void {
+    const { clock, directory } = this.#options
     const { id, startedAtEpochMs } = target
-    const current = this.#options.directory.target(id)
+    const current = directory.target(id)
     if (current !== undefined && current.startedAtEpochMs !== startedAtEpochMs) return
-    const previous = this.#of(target)?.requestsPerSecond
-    this.#known.set(id, { startedAtEpochMs, requestsPerSecond, heardAtMs })
+    const known = this.#of(target)
+    const previous = known?.requestsPerSecond
+    const limiter =
+      known === undefined || previous === undefined ? new RequestLimiter(clock.monotonicMs()) : known.limiter
+    this.#known.set(id, { startedAtEpochMs, requestsPerSecond, heardAtMs, limiter })
     if (previous !== requestsPerSecond) {
       this.#log('target.limit_changed', target, { requestsPerSecond, previous })
     }
--- a/packages/gateway/src/target-observations.ts
+++ b/packages/gateway/src/target-observations.ts
@@ -166,6 +166,7 @@
     const nowMs = this.#options.clock.monotonicMs()
     const observed = this.of(id)
     observed.load.started()
+    this.limits.recordSent(id)
     observed.cold.record(nowMs)
     observed.unansweredSinceMs ??= nowMs
   }
--- a/packages/gateway/src/target-selector.ts
+++ b/packages/gateway/src/target-selector.ts
@@ -157,6 +157,9 @@
     if (share < 1 && random.float() >= share) {
       return refuse('owner_share', shareRetryAfterMs(share), { ...inputs, share })
     }
+    const rank = directory.rank(service.name, request.match.route.priority)
+    if (targets.limits.waitMs(target, rank) > 0)
+      return this.#refuseLimited('owner_limited', target, rank, inputs)
     const coldWaitMs = targets.coldWaitMs(target, service)
     if (coldWaitMs > 0) return refuse('owner_cold', coldWaitMs, inputs)
     // As the owner's last report gets older, the prediction relies more on an expected occupancy. That is the
@@ -178,7 +181,10 @@
     // a target that was passed over for its load is tried again.
     const expectedOccupancy = targets.averageOccupancy(service.name)
     const candidates: PlacementCandidate<ChosenTarget>[] = []
+    const rank = directory.rank(service.name, route.priority)
     let coldWaitMs = Number.POSITIVE_INFINITY
+    /** Of the targets that name a limit and get no request now, the one that may get one first. */
+    let limited: { readonly target: KnownTarget; readonly waitMs: number } | undefined
     for (const target of directory.targets(service.name)) {
       if (!directory.isUsable(target) || request.tried.has(target.id)) continue
       const observed = targets.of(target.id)
@@ -188,6 +194,11 @@
         coldWaitMs = Math.min(coldWaitMs, waitMs)
         continue
       }
+      const limitWaitMs = targets.limits.waitMs(target, rank)
+      if (limitWaitMs > 0) {
+        if (limited === undefined || limitWaitMs < limited.waitMs) limited = { target, waitMs: limitWaitMs }
+        continue
+      }
       const predicted = this.#predict(request, target, expectedOccupancy)
       if (observed.isSilent(nowMs, predictedMs(predicted))) continue
       candidates.push({
@@ -199,11 +210,19 @@
     }
     const chosen = chooseTarget(candidates, random)
     if (chosen !== undefined) return this.#admit(request, chosen.target, false)
+    if (limited !== undefined) return this.#refuseLimited('targets_limited', limited.target, rank)
     return Number.isFinite(coldWaitMs)
       ? refuse('targets_cold', coldWaitMs)
       : refuse('no_target', defaultRetryAfterMs)
   }
 
+  /** Refuses a request because a target's limit leaves no room for it. */
+  #refuseLimited(reason: string, target: KnownTarget, rank: number, known: object = {}): Selection {
+    const { retryAfterMs, inputs } = this.#options.targets.limits.refuse(target, rank, maxRetryAfterMs)
+    const wait = retryAfterMs ?? overloadRetryAfterMs
+    return refuse(reason, wait, { ...known, target: target.id, ...inputs })
+  }
+
   #predict({ match }: SelectionRequest, target: KnownTarget, expectedOccupancy: number): Prediction {
     const { targets, clock, routeWorkMs } = this.#options
     return targets.of(target.id).load.predict(clock.monotonicMs(), {
--- a/packages/gateway/src/testing-gateway.ts
+++ b/packages/gateway/src/testing-gateway.ts
@@ -240,6 +240,12 @@
     })
   }
 
+  /** The limit that the target names, as the host knows it. */
+  requestLimit(id: string): number | undefined {
+    const target = this.directory.target(id)
+    return target === undefined ? undefined : this.#targets.limits.requestsPerSecond(target)
+  }
+
   connectFailures(id: string): number {
     return this.#targets.of(id).connectFailures
   }
--- a/packages/gateway/src/testing-limits.ts
+++ b/packages/gateway/src/testing-limits.ts
@@ -14,6 +14,7 @@
 /** Time from sending a request to its response. */
 const workMs = 40
 const deadlineMs = 2000
+const reportIntervalMs = 350
 
 export interface LimitWorldOptions {
   readonly seed: number
@@ -25,9 +26,11 @@
   readonly requestsPerSecond?: number
   /** Share of the rows of other hosts that each host lacks. */
   readonly missingHostShare?: number
+  /** Whether hosts report limits to the first one, which tells them what it knows. */
+  readonly reports?: boolean
 }
 
-interface WorldHost {
+export interface WorldHost {
   readonly name: string
   readonly clock: VirtualClock
   readonly directory: Directory
@@ -54,7 +57,14 @@
   #rowVersion = 10
 
   constructor(options: LimitWorldOptions) {
-    this.#options = { targets: 3, isSharded: true, requestsPerSecond: 30, missingHostShare: 0, ...options }
+    this.#options = {
+      targets: 3,
+      isSharded: true,
+      requestsPerSecond: 30,
+      missingHostShare: 0,
+      reports: false,
+      ...options,
+    }
     this.#random = new Random(options.seed)
     for (let index = 0; index < options.hosts; index += 1) this.hosts.push(this.#startHost(index))
   }
@@ -153,7 +163,20 @@
       admittedShare: () => 1,
       routeWorkMs: () => workMs,
     })
-    return { name, clock, directory, targets, selector }
+    const host = { name, clock, directory, targets, selector }
+    if (this.#options.reports) this.#scheduleReport(host)
+    return host
+  }
+
+  #scheduleReport(host: WorldHost): void {
+    host.clock.schedule(reportIntervalMs, () => {
+      const leader = this.hosts[0]
+      if (leader !== undefined && leader !== host && !leader.clock.paused) {
+        leader.targets.limits.merge(host.targets.limits.statements())
+        host.targets.limits.merge(leader.targets.limits.statements())
+      }
+      this.#scheduleReport(host)
+    })
   }
 
   #register(directory: Directory): void {
--- a/packages/routing/src/cold-start.ts
+++ b/packages/routing/src/cold-start.ts
@@ -5,49 +5,23 @@
  * requests a second. Load pattern: the targets of a failure domain come back cold together while requests
  * wait for them.
  */
+import { hostRank, type HostRankOptions } from './rendezvous.js'
 import { SlidingWindowCounter } from './sliding-window-counter.js'
 
 /** The limit of a cold target is given in requests a second. */
 const windowMs = 1000
 
-export interface HostColdRateOptions {
+export interface HostColdRateOptions extends HostRankOptions {
   /** Requests a second that the target tolerates from all hosts together. */
   readonly requestsPerSecond: number
-  readonly targetId: string
-  readonly hostName: string
-  /** Names of all known hosts; this host is counted even when the list lacks it. */
-  readonly hostNames: readonly string[]
-}
-
-/** FNV-1a hash with a final mix. It only has to give the same result on all hosts. */
-const hash = (text: string): number => {
-  let value = 0x811c9dc5
-  for (let index = 0; index < text.length; index += 1) {
-    value = Math.imul(value ^ text.charCodeAt(index), 0x01000193)
-  }
-  // FNV-1a alone lets the last characters affect only some of the bits.
-  value = Math.imul(value ^ (value >>> 16), 0x45d9f3b)
-  return (value ^ (value >>> 16)) >>> 0
 }
 
 /** This host's part of the target's rate, in requests a second; 0 when it must not send to the target. */
-export const hostColdRate = ({
-  requestsPerSecond,
-  targetId,
-  hostName,
-  hostNames,
-}: HostColdRateOptions): number => {
-  const count = hostNames.length + (hostNames.includes(hostName) ? 0 : 1)
+export const hostColdRate = ({ requestsPerSecond, ...hosts }: HostColdRateOptions): number => {
+  const { rank, count } = hostRank(hosts)
   const whole = Math.floor(requestsPerSecond)
   const each = Math.floor(whole / count)
   const rest = whole - each * count
-  const own = hash(`${targetId}/${hostName}`)
-  let rank = 0
-  for (const other of hostNames) {
-    if (other === hostName) continue
-    const score = hash(`${targetId}/${other}`)
-    if (score > own || (score === own && other > hostName)) rank += 1
-  }
   return each + (rank < rest ? 1 : 0)
 }
 
--- /dev/null
+++ b/packages/routing/src/request-limit.ts
@@ -0,0 +1,106 @@
+/**
+ * Limits the rate at which all hosts together send requests to a target that names a limit itself, without a
+ * message before each request. The limit is divided equally among a few hosts, which rendezvous hashing picks:
+ * not more of them than requests a second, because each may send one request at any moment. The other hosts
+ * send nothing while some host is heard to get responses from the target. Load pattern: a target in need names
+ * a limit far below what its keys demand, and is reached through all hosts.
+ */
+import { hostRank, type HostRankOptions } from './rendezvous.js'
+
+/** A host that has not used its share may send this much of it at once. */
+const burstMs = 1000
+/**
+ * A lower limit counts as this many requests a second, as only a response shows that the limit has changed or
+ * ended.
+ */
+const minRequestsPerSecond = 0.1
+/**
+ * When nothing was heard of the target for this long, as many further hosts may send to it: the picked ones
+ * may have stopped, or have no requests for it.
+ */
+const silenceMs = 5000
+/** Silence is at least this many times the interval between two requests of a host. */
+const silenceIntervals = 2
+
+export interface HostRequestRateOptions extends HostRankOptions {
+  /** Requests a second that the target accepts from all hosts together. */
+  readonly requestsPerSecond: number
+  /** Time since the last response of the target that this host knows of. */
+  readonly silentMs: number
+}
+
+/** This host's part of the target's limit, in requests a second; 0 when it must not send to the target. */
+export const hostRequestRate = ({
+  requestsPerSecond,
+  silentMs,
+  ...hosts
+}: HostRequestRateOptions): number => {
+  const { rank, count } = hostRank(hosts)
+  const total = Math.max(minRequestsPerSecond, requestsPerSecond)
+  const senders = Math.min(count, Math.max(1, Math.floor(total)))
+  const rate = total / senders
+  const turn = Math.floor(rank / senders)
+  const turnMs = Math.max(silenceMs, (silenceIntervals * 1000) / rate)
+  return silentMs >= turn * turnMs ? rate : 0
+}
+
+/** A token bucket: counts the requests that this host sends to one target that names a limit. */
+export class RequestLimiter {
+  #tokens = 0
+  #refilledAtMs: number
+  /** When a request of each rank was last refused. */
+  readonly #refusedAtMs: number[] = []
+  /** Callers that were refused are expected back until this time, one after another. */
+  #expectedUntilMs = 0
+
+  /** The bucket is empty at first, because requests were sent until the limit was known. */
+  constructor(nowMs: number) {
+    this.#refilledAtMs = nowMs
+  }
+
+  /** Called when a request is sent. */
+  record(): void {
+    this.#tokens -= 1
+  }
+
+  /**
+   * Time until this host may send one more request at `rate` requests a second; 0 when it may now. `rank` is 0
+   * for the most urgent requests. Others also wait while more urgent ones are refused.
+   */
+  waitMs(nowMs: number, rate: number, rank = 0): number {
+    if (rate <= 0) return Number.POSITIVE_INFINITY
+    this.#refill(nowMs, rate)
+    const tokenMs = this.#tokens >= 1 ? 0 : ((1 - this.#tokens) * 1000) / rate
+    const reservedMs = Math.max(burstMs, 1000 / rate)
+    const reservedUntilMs = Math.max(
+      ...this.#refusedAtMs.slice(0, rank).map((refusedAtMs) => refusedAtMs + reservedMs),
+      0,
+    )
+    return Math.max(tokenMs, reservedUntilMs - nowMs)
+  }
+
+  /**
+   * Records that a request is refused because of `waitMs`. Returns the time to a retry: each caller gets a
+   * later time than the one before, at the rate at which they can be served, but at most `maxMs`.
+   */
+  refuse(nowMs: number, rate: number, { waitMs, rank, maxMs }: RefusalTiming): number {
+    this.#refusedAtMs[rank] = nowMs
+    for (let other = 0; other < rank; other += 1) this.#refusedAtMs[other] ??= Number.NEGATIVE_INFINITY
+    const firstMs = Math.max(this.#expectedUntilMs, nowMs + waitMs)
+    this.#expectedUntilMs = Math.min(nowMs + maxMs, firstMs + 1000 / rate)
+    return Math.min(maxMs, firstMs - nowMs)
+  }
+
+  #refill(nowMs: number, rate: number): void {
+    const elapsedMs = Math.max(0, nowMs - this.#refilledAtMs)
+    this.#refilledAtMs = nowMs
+    const capacity = Math.max(1, (rate * burstMs) / 1000)
+    this.#tokens = Math.min(capacity, this.#tokens + (rate * elapsedMs) / 1000)
+  }
+}
+
+export interface RefusalTiming {
+  readonly waitMs: number
+  readonly rank: number
+  readonly maxMs: number
+}
