Move keys away from owners that name a limit below their demand

What was seen: keys have no other target than their owner, so while the hosts keep within its limit all requests beyond it are refused, for as long as the limit lasts.

Cause: the leader took a limited owner for one with all its slots, and took the slots for the capacity of the service.

Change: a limit that was named for a second counts as the target's capacity in the balance of load, and the target gets no more keys; a limit of 0 takes all keys away. The leader's share of requests no longer applies to it, as hosts keep within the limit by themselves.

--- a/packages/gateway/src/assignment-controller.ts
+++ b/packages/gateway/src/assignment-controller.ts
@@ -3,7 +3,7 @@
 import type { Clock, Logger } from '@pimentotally/core'
 import { storeTables } from '@pimentotally/platform'
 import type { RowStore } from '@pimentotally/storage'
-import type { Directory } from './directory.js'
+import type { Directory, KnownTarget } from './directory.js'
 import { ServiceAssignmentController } from './service-assignment-controller.js'
 import type { Leadership, Tenure } from './leadership.js'
 
@@ -35,6 +35,8 @@
   readonly workMs: (service: string) => number
   /** Mean number of requests that run or wait at a target. */
   readonly occupancy: (target: string) => number
+  /** Requests a second that the target accepts, if it names a limit that lasts; undefined otherwise. */
+  readonly requestLimit: (target: KnownTarget) => number | undefined
   /** Called when a decision was stored, so that other hosts learn of it. */
   readonly stored: () => void
 }
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -182,6 +182,7 @@
       maxHoldMs: bounds.maxHoldMs,
       workMs: (service) => this.#dispatcher.serviceWorkMs(service),
       occupancy: (target) => this.#peerReports.targetOccupancy(target),
+      requestLimit: (target) => this.#targets.limits.lastingLimit(target),
       stored: () => {
         relayedStore.expedite(storeTables.routerState)
       },
--- a/packages/gateway/src/ownership.test.ts
+++ b/packages/gateway/src/ownership.test.ts
@@ -340,3 +340,36 @@
   await simulation.advance(12_000)
   assert.deepEqual(simulation.violations, [])
 })
+
+test('keys whose owner names a limit below their demand move to other targets', async () => {
+  for (const limit of [0, 1, 3.5]) {
+    const simulation = await startSimulation(31)
+    const [target] = simulation.targets
+    assert.ok(target)
+    const loadOf = (): number => {
+      const leader = simulation.leader()
+      const load = leader?.assignmentController.keyLoad(service)
+      const ranges = leader?.directory.assignment(service)?.assignment?.ranges ?? []
+      return ranges
+        .filter(({ owner }) => owner === target.id)
+        .reduce((sum, { from, to }) => sum + (load?.sum(from, to) ?? 0), 0)
+    }
+    const run = async (): Promise<void> => {
+      for (let round = 0; round < 40; round += 1) {
+        const load = simulation.leader()?.assignmentController.keyLoad(service)
+        // About 100 requests a second over all keys.
+        for (let key = 0; key < 65_536; key += 656) load?.add(key, 0.25)
+        await simulation.advance(250)
+      }
+    }
+    await run()
+    assert.ok(loadOf() > 10, 'the target has its part of the load')
+    simulation.requestLimits.set(target.id, limit)
+    await run()
+    assert.ok(
+      loadOf() < 2 * limit + 4,
+      `${String(loadOf())} requests a second at a limit of ${String(limit)}`,
+    )
+    assertOwned(simulation)
+  }
+})
--- a/packages/gateway/src/service-assignment-controller.ts
+++ b/packages/gateway/src/service-assignment-controller.ts
@@ -77,6 +77,8 @@
   readonly workMs: () => number
   /** Mean number of requests that run or wait at a target. */
   readonly occupancy: (target: string) => number
+  /** Requests a second that the target accepts, if it names a limit that lasts; undefined otherwise. */
+  readonly requestLimit: (target: KnownTarget) => number | undefined
   /** Called when a decision was stored, so that other hosts learn of it. */
   readonly stored: () => void
 }
@@ -94,6 +96,8 @@
 interface ServiceDemand extends TargetDemand {
   /** How long work takes on the target, relative to the mean of its service. */
   readonly factor: number
+  /** Share of the target's capacity that its own limit leaves; 1 for a target that names none. */
+  readonly limitShare: number
 }
 
 interface Decision {
@@ -251,15 +255,18 @@
     const nowMs = clock.monotonicMs()
     keyLoad.decay(nowMs)
     const demands = this.#demands(current)
-    this.#shares = admittedShares(demands)
+    // Hosts keep within a limit that a target names by themselves.
+    this.#shares = admittedShares(demands.filter(({ limitShare }) => limitShare === 1))
     const utilization = utilizationOf(demands)
     const exponent = speedExponent(utilization)
-    const factors = new Map(demands.map(({ id, factor }) => [id, factor]))
+    const demandOf = new Map(demands.map((demand) => [demand.id, demand]))
     const mayReceiveCold = utilization > coldReceiverUtilization
-    const targets = directory.targets(service).map((target) => ({
-      ...this.#weigh(target, nowMs, (factors.get(target.id) ?? 1) ** exponent),
-      mayReceive: mayReceiveCold || target.coldUntilMs <= nowMs,
-    }))
+    const targets = directory.targets(service).map((target) => {
+      const { factor = 1, limitShare = 1 } = demandOf.get(target.id) ?? {}
+      const { weight, ...rest } = this.#weigh(target, nowMs, factor ** exponent)
+      const mayReceive = (mayReceiveCold || target.coldUntilMs <= nowMs) && limitShare === 1
+      return { ...rest, weight: weight * limitShare, mayReceive }
+    })
     const pinned = this.#formerOwners.pinned(current)
     const afterRestart = this.#restartedRanges(current)
     if (afterRestart.length > 0) return { changes: afterRestart, reason: 'new_life' }
@@ -298,7 +305,7 @@
 
   /** Demand and capacity of each usable target. */
   #demands({ ranges }: Assignment): ServiceDemand[] {
-    const { directory, service, keyLoad, workMs } = this.#options
+    const { directory, service, keyLoad, workMs, requestLimit } = this.#options
     const rates = new Map<string, number>()
     for (const { from, to, owner } of ranges) {
       rates.set(owner, (rates.get(owner) ?? 0) + keyLoad.sum(from, to))
@@ -309,8 +316,10 @@
       .map((target) => {
         const requestsPerSecond = rates.get(target.id) ?? 0
         const factor = this.#factor(target, requestsPerSecond)
-        const capacityPerSecond = (target.slots * 1000) / (workMs() * factor)
-        return { id: target.id, requestsPerSecond, capacityPerSecond, factor }
+        const unlimitedPerSecond = (target.slots * 1000) / (workMs() * factor)
+        const limitShare = Math.min(1, (requestLimit(target) ?? unlimitedPerSecond) / unlimitedPerSecond)
+        const capacityPerSecond = unlimitedPerSecond * limitShare
+        return { id: target.id, requestsPerSecond, capacityPerSecond, factor, limitShare }
       })
   }
 
--- a/packages/gateway/src/target-limits.ts
+++ b/packages/gateway/src/target-limits.ts
@@ -13,6 +13,8 @@
 const logIntervalMs = 1000
 /** What was heard of a limit is told to other hosts for this long, and remembered after the limit's end. */
 const statementLifetimeMs = 30_000
+/** A limit that was named for this long is taken for a lasting one. */
+const lastingMs = 1000
 /** Most statements in one message; if more targets name a limit, the latest heard ones are told. */
 const maxStatements = 100
 
@@ -50,6 +52,8 @@
   readonly requestsPerSecond: number | undefined
   /** When the latest response that tells the limit arrived. */
   readonly heardAtMs: number
+  /** When this host learned that the target names a limit. */
+  readonly sinceMs: number
   /** Counts this host's requests while the limit lasts. */
   readonly limiter: RequestLimiter
 }
@@ -171,6 +175,16 @@
     }
   }
 
+  /**
+   * Requests a second that the target accepts, if it has named a limit for a while; undefined otherwise. Moving
+   * keys for a limit that ends at once would gain nothing.
+   */
+  lastingLimit(target: KnownTarget): number | undefined {
+    const known = this.#of(target)
+    if (known === undefined || this.#options.clock.monotonicMs() - known.sinceMs < lastingMs) return undefined
+    return known.requestsPerSecond
+  }
+
   /** Drops what is known of targets that have left the target registry. */
   dropRemovedTargets(): void {
     for (const id of this.#known.keys()) {
@@ -208,9 +222,12 @@
     if (current !== undefined && current.startedAtEpochMs !== startedAtEpochMs) return
     const known = this.#of(target)
     const previous = known?.requestsPerSecond
-    const limiter =
-      known === undefined || previous === undefined ? new RequestLimiter(clock.monotonicMs()) : known.limiter
-    this.#known.set(id, { startedAtEpochMs, requestsPerSecond, heardAtMs, limiter })
+    const nowMs = clock.monotonicMs()
+    const { limiter, sinceMs } =
+      known === undefined || previous === undefined
+        ? { limiter: new RequestLimiter(nowMs), sinceMs: nowMs }
+        : known
+    this.#known.set(id, { startedAtEpochMs, requestsPerSecond, heardAtMs, sinceMs, limiter })
     if (previous !== requestsPerSecond) {
       this.#log('target.limit_changed', target, { requestsPerSecond, previous })
     }
--- a/packages/gateway/src/testing-simulation.ts
+++ b/packages/gateway/src/testing-simulation.ts
@@ -97,6 +97,7 @@
       maxHoldMs,
       workMs: () => 100,
       occupancy: (target) => simulation.occupancy.get(target) ?? 0,
+      requestLimit: ({ id }) => simulation.requestLimits.get(id),
       stored: () => undefined,
     })
     const replicate = (table: string, apply: (change: ReplicaChange) => void): Replica =>
@@ -301,6 +302,8 @@
   readonly targetsCutFromStore = new Set<SimulatedTarget>()
   /** Requests that run or wait at each target, as reported by the hosts. */
   readonly occupancy = new Map<string, number>()
+  /** Limits that targets have named for a while, in requests a second. */
+  readonly requestLimits = new Map<string, number>()
   /** When the lease was taken, once for each term. */
   readonly leaseTakenAtMs: number[] = []
   /** Share of heartbeats that are written up to 6 s late, after newer ones. */
