Do not take a refusal that is written once more for a response to another attempt

Cause, here in two forms, each shown by a test that failed before: a refusal without a request id was believed on any connection, so a copy of an earlier one counted for a later request; and an unsafe request for a key is sent to its owner again on the connection that carried the refusal, where a copy has the right id. In both tests the caller got 503 and the request ran.

Change: a refusal without an id is believed only on a connection that carried no other request; the connection that refused an unsafe request for a key is closed, as only such a request is sent to the same target twice. On other connections the id tells the copy, as before.

--- a/packages/gateway/src/broken-answers.test.ts
+++ b/packages/gateway/src/broken-answers.test.ts
@@ -7,7 +7,7 @@
 import { test } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { maxBufferedBytes } from './target-exchange.js'
-import { TestGateway, rawHead, startRawTarget } from './testing-gateway.js'
+import { TestGateway, rawHead, rawRefusal, startRawTarget } from './testing-gateway.js'
 
 const fullResponse = (requestId: string, body: string): string =>
   `${rawHead(requestId, [`Content-Length: ${String(body.length)}`])}\r\n${body}`
@@ -152,3 +152,67 @@
   const gateway = await TestGateway.start(t, [target])
   await assert.rejects(gateway.call('/notes/1', { fields: { deadlineMs: 300 } }))
 })
+
+test('an earlier refusal that is written once more does not make an owner’s unsafe request look refused', async (t) => {
+  let refused: unknown
+  const target = await startRawTarget(t, 'a', (socket, requestId, index) => {
+    // On a connection that carried the refusal, a copy of it arrives where the next response is expected.
+    if (index === 0 || socket === refused) socket.write(rawRefusal(requestId))
+    if (index === 0) refused = socket
+    else socket.write(fullResponse(requestId, 'ran'))
+  })
+  const gateway = await TestGateway.start(t, [target], { isSharded: true })
+  gateway.assign('a', { version: 1 })
+  const { status } = await gateway.call('/orders/1', { method: 'POST', body: 'x', fields: { key: 7 } })
+  assert.equal(status, 200)
+  assert.equal(target.connections(), 2, 'each attempt has a connection of its own')
+})
+
+test('a refusal without a request id on a kept connection does not make an unsafe request look refused', async (t) => {
+  const target = await startRawTarget(t, 'a', (socket, requestId, index) => {
+    if (index === 0) socket.write(fullResponse(requestId, 'one'))
+    else socket.write(rawRefusal(undefined))
+  })
+  const other = await startRawTarget(t, 'b', (socket, requestId) =>
+    socket.write(fullResponse(requestId, 'other')),
+  )
+  const gateway = await TestGateway.start(t, [target])
+  const post = { method: 'POST', body: 'x' }
+  assert.equal((await gateway.call('/orders/1', post)).status, 200)
+  gateway.addTarget(other)
+  gateway.remove('b')
+  assert.equal((await gateway.call('/orders/2', post)).status, 502)
+  assert.equal(other.receivedIds.length, 0, 'the request is not sent to another target')
+})
+
+test('a refusal without a request id on a new connection is believed', async (t) => {
+  const target = await startRawTarget(t, 'a', (socket) => socket.write(rawRefusal(undefined)))
+  const gateway = await TestGateway.start(t, [target])
+  assert.equal((await gateway.call('/orders/1', { method: 'POST', body: 'x' })).status, 503)
+})
+
+test('a response whose head is cut off anywhere reaches no caller as a success', async (t) => {
+  let cutAt = 0
+  const response = (requestId: string): string => fullResponse(requestId, 'whole')
+  const target = await startRawTarget(t, 'a', (socket, requestId) => {
+    socket.end(response(requestId).slice(0, cutAt))
+  })
+  const gateway = await TestGateway.start(t, [target])
+  const headBytes = response('r-1').length - 'whole'.length
+  for (cutAt = 0; cutAt < headBytes + 'whole'.length; cutAt += 3) {
+    const { status, body } = await gateway.call('/orders/1', { method: 'POST', body: 'x' })
+    assert.notEqual(status, 200, `cut at byte ${String(cutAt)}: "${body}"`)
+  }
+})
+
+test('a response without a length whose head is cut off reaches no caller as a success', async (t) => {
+  let cutAt = 0
+  const target = await startRawTarget(t, 'a', (socket, requestId) => {
+    socket.end(`${rawHead(requestId, ['Connection: close'])}\r\n`.slice(0, cutAt))
+  })
+  const gateway = await TestGateway.start(t, [target])
+  const headBytes = rawHead('r-1', ['Connection: close']).length + 2
+  for (cutAt = 0; cutAt < headBytes; cutAt += 3) {
+    assert.notEqual((await gateway.call('/orders/1', { method: 'POST', body: 'x' })).status, 200)
+  }
+})
--- a/packages/gateway/src/proxied-request.ts
+++ b/packages/gateway/src/proxied-request.ts
@@ -239,6 +239,7 @@
       requestId,
       connectTimeoutMs: Math.min(connectTimeoutMs, Math.max(1, this.#leftMs())),
       delayAfterConnectMs: this.#isIdempotent ? 0 : unsafeConnectDelayMs,
+      closesAfterRefusal: !this.#isIdempotent && this.#isKeyed,
       mayStart: () => !this.#finished,
       settled: (result) => {
         this.#pendingAttempts.delete(attempt)
--- a/packages/gateway/src/target-exchange.ts
+++ b/packages/gateway/src/target-exchange.ts
@@ -76,6 +76,12 @@
    * connection.
    */
   readonly delayAfterConnectMs?: number
+  /**
+   * Whether the connection is closed after a response that states that the request has not run. Needed where
+   * the same request may be sent to the target again: a second copy of that response, with the same request
+   * id, could not be told from a response to the next attempt.
+   */
+  readonly closesAfterRefusal?: boolean
   /** Called once, before anything is written on the ready connection: whether the request is still wanted. */
   readonly mayStart: () => boolean
   /** Called exactly once, unless the exchange is cancelled. */
@@ -172,9 +178,11 @@
     const status = incoming.statusCode ?? 0
     const notExecuted = isMarkedNotExecuted(status, incoming.headers)
     // A response that does not repeat the request's id belongs to another request. One without any id is
-    // accepted only if it states that the request has not run.
+    // accepted only if it states that the request has not run, on a connection that carried no other request:
+    // else it may be a copy of an earlier one.
     const echoed = incoming.headers[platformHeaders.requestId]
-    if (this.#settled || (echoed !== this.#options.requestId && !(notExecuted && echoed === undefined))) {
+    const isAnonymousRefusal = notExecuted && echoed === undefined && !this.#request.reusedSocket
+    if (this.#settled || (echoed !== this.#options.requestId && !isAnonymousRefusal)) {
       incoming.on('error', () => undefined)
       this.#settleLost('crossed')
       return
@@ -185,7 +193,8 @@
     const settleResponse = (complete: boolean): void => {
       // A target that responds before it has read the whole request may read the rest later, so the
       // connection must not be used for another request.
-      if (complete && !this.#request.writableFinished) this.#socket?.destroy()
+      const mayRepeat = notExecuted && this.#options.closesAfterRefusal === true
+      if (complete && (!this.#request.writableFinished || mayRepeat)) this.#socket?.destroy()
       this.#settle({ kind: 'response', status, incoming, body, complete, endsCleanly, notExecuted })
     }
     const socket = this.#socket
--- a/packages/gateway/src/testing-gateway.ts
+++ b/packages/gateway/src/testing-gateway.ts
@@ -115,6 +115,14 @@
     '',
   ].join('\r\n')
 
+/** A target's refusal of a request, which it states that it has not run; without an id if that is undefined. */
+export const rawRefusal = (requestId: string | undefined): string => {
+  const fields = Object.entries(answerHeaders(requestId ?? '', { notExecuted: true }))
+    .filter(([, value]) => value !== '')
+    .map(([name, value]) => `${name}: ${value}\r\n`)
+  return `HTTP/1.1 503 Service Unavailable\r\n${fields.join('')}Content-Length: 0\r\n\r\n`
+}
+
 export const exchangeRequestId = 'r-1'
 
 /** Sends one request with the id `exchangeRequestId` on a new connection. */
