Take no request late in a stop that could only be cut off

Cause, here in three forms, each shown by a test that failed before: after a response whose header was sent before the stop, the connection stayed open and the next request on it was dispatched however late; requests sent ahead behind a response that closes the connection were dispatched, though nothing can answer them, and where two had been dispatched before the stop, the first response closed the connection of the second; a body that ended late in the stop was dispatched.

Change: only the last response of a connection closes it, and requests behind it are not dispatched, so their callers may send them again; once the server waits for the requests in flight it dispatches none, closes each connection after its response, and refuses a request whose body ends then. The same holds for a host that is cut off and closes connections.

--- a/packages/gateway/src/caller-server.test.ts
+++ b/packages/gateway/src/caller-server.test.ts
@@ -4,7 +4,7 @@
  */
 import assert from 'node:assert/strict'
 import { connect } from 'node:net'
-import { test } from 'node:test'
+import { test, type TestContext } from 'node:test'
 import { SilentLogger, SystemClock } from '@pimentotally/core'
 import { configurationRow } from '@pimentotally/platform/testing'
 import { CallerServer } from './caller-server.js'
@@ -80,3 +80,83 @@
   assert.equal(await finished, 0)
   assert.ok(bytes > answer.length, `the caller got ${String(bytes)} bytes`)
 })
+
+/** Resolves when the condition holds; rejects when it does not hold for long. */
+const until = async (condition: () => boolean): Promise<void> => {
+  for (let round = 0; !condition(); round += 1) {
+    assert.ok(round < 2000, `the condition did not hold: ${String(condition)}`)
+    await new Promise((resolve) => setTimeout(resolve, 2))
+  }
+}
+
+/** Opens a connection to the server; `text` is what it has received, `closed` whether it has ended. */
+const openConnection = async (
+  t: TestContext,
+  port: number,
+): Promise<{ write: (text: string) => void; text: () => string; closed: () => boolean }> => {
+  const caller = connect(port, '127.0.0.1')
+  t.after(() => caller.destroy())
+  let text = ''
+  let closed = false
+  caller.on('error', () => undefined)
+  caller.on('data', (chunk: Buffer) => (text += chunk.toString()))
+  caller.once('close', () => (closed = true))
+  await new Promise<void>((resolve) => caller.once('connect', resolve))
+  return { write: (data) => caller.write(data), text: () => text, closed: () => closed }
+}
+
+test('a request that follows a long response late in a stop is not dispatched', async (t) => {
+  const responses: InboundRequest['response'][] = []
+  const { server, port } = await start(({ response }) => {
+    responses.push(response)
+    if (responses.length > 1) response.end()
+    else response.writeHead(200, { 'content-length': 8 }).write('four')
+  })
+  const caller = await openConnection(t, port)
+  caller.write(requestHead)
+  await until(() => caller.text().endsWith('four'))
+  // The header has been sent, so it does not tell the caller that the connection will be closed.
+  server.startDraining()
+  const finished = server.closeWhenDrained(5000)
+  responses[0]?.end('more')
+  await until(() => caller.text().endsWith('more'))
+  caller.write(requestHead)
+  await until(() => caller.closed())
+  assert.equal(await finished, 0)
+  assert.equal(responses.length, 1)
+})
+
+test('requests that are sent ahead are dispatched only while the connection stays open for their responses', async (t) => {
+  const responses: InboundRequest['response'][] = []
+  const { server, port } = await start(({ response }) => responses.push(response))
+  const caller = await openConnection(t, port)
+  caller.write(requestHead + requestHead)
+  await until(() => responses.length === 2)
+  t.after(() => server.closeWhenDrained(0))
+  server.startDraining()
+  caller.write(requestHead)
+  await new Promise((resolve) => setTimeout(resolve, 50))
+  assert.equal(
+    responses.length,
+    2,
+    'the second response closes the connection, so the third request is not read',
+  )
+  for (const response of responses) response.end('answer')
+  await until(() => caller.closed())
+  assert.equal(caller.text().match(/HTTP\/1.1 200/g)?.length, 2, 'both dispatched requests are answered')
+})
+
+test('a request whose body ends late in a stop is refused, not dispatched', async (t) => {
+  let dispatched = 0
+  const { server, port } = await start(() => (dispatched += 1))
+  const caller = await openConnection(t, port)
+  caller.write('POST /orders/1 HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 2\r\n\r\na')
+  await until(() => server.inFlight === 1)
+  server.startDraining()
+  const finished = server.closeWhenDrained(5000)
+  caller.write('b')
+  await until(() => caller.closed())
+  assert.equal(await finished, 0)
+  assert.match(caller.text(), /^HTTP\/1.1 503 .*not-run/s)
+  assert.equal(dispatched, 0)
+})
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -17,8 +17,11 @@
 const defaultIdleTimeoutMs = 15_000
 /** Time within which the header of a request must arrive, until the first configuration sets another. */
 const defaultHeaderTimeoutMs = 10_000
-/** Retry-After of requests that arrive during start-up: a starting host reads the store within this time. */
-const notReadyRetryAfterMs = 500
+/**
+ * Retry-After of requests that arrive during start-up, within which the host reads the store, or whose body
+ * ends late in a stop; callers retry at other hosts.
+ */
+const unavailableRetryAfterMs = 500
 /** Connections that wait to be accepted; enough that a burst is not dropped while the process is busy. */
 const acceptBacklog = 1024
 
@@ -41,7 +44,14 @@
    * closed connection and no response, as for a request that was never read.
    */
   readonly #endedSockets = new WeakSet<Socket>()
+  /**
+   * Connections that a pending response will close. Requests behind it are not dispatched: they would get no
+   * response, and their callers may send them again as long as they were not read.
+   */
+  readonly #endingSockets = new WeakSet<Socket>()
   #draining = false
+  /** Set when the server no longer dispatches requests. */
+  #closing = false
 
   constructor(options: CallerServerOptions) {
     this.#options = options
@@ -63,6 +73,8 @@
     this.#server.on('connection', (socket) => {
       this.#sockets.add(socket)
       socket.once('close', () => this.#sockets.delete(socket))
+      // Was accepted just before the stop closed the listening socket.
+      if (this.#closing) this.#end(socket)
     })
     this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       this.#handleClientError(error, socket as Socket)
@@ -87,14 +99,15 @@
     this.#server.keepAliveTimeout = idleTimeoutMs
   }
 
-  /** Makes each response close its connection from now on; new connections are still accepted. */
+  /** Makes each connection close after its last response from now on; new connections are still accepted. */
   startDraining(): void {
     this.#draining = true
-    for (const response of this.#openResponses) if (!response.headersSent) response.shouldKeepAlive = false
+    const lastResponses = new Map([...this.#openResponses].map((response) => [response.req.socket, response]))
+    for (const response of lastResponses.values()) if (!response.headersSent) this.#closeAfter(response)
   }
 
   /**
-   * Accepts no more connections, ends idle ones, and resolves when no request is in flight, or after
+   * Accepts no more connections and dispatches no more requests, ends idle connections, and resolves when no request is in flight, or after
    * `timeoutMs`. Returns the number of requests that are still in flight.
    */
   async closeWhenDrained(timeoutMs: number): Promise<number> {
@@ -102,6 +115,7 @@
     // The close method of Node's HTTP server also closes idle connections, and counts a connection as idle
     // while the end of its response is still to be written. So only the listening socket is closed here.
     TcpServer.prototype.close.call(this.#server)
+    this.#closing = true
     this.#closeIdle()
     const endsAtMs = clock.monotonicMs() + timeoutMs
     while (this.#openResponses.size > 0 && clock.monotonicMs() < endsAtMs) await clock.sleep(20)
@@ -110,11 +124,24 @@
 
   #closeIdle(): void {
     const busy = new Set([...this.#openResponses].map(({ req }) => req.socket))
-    for (const socket of this.#sockets) {
-      if (busy.has(socket)) continue
-      this.#endedSockets.add(socket)
-      socket.end()
-    }
+    for (const socket of this.#sockets) if (!busy.has(socket)) this.#end(socket)
+  }
+
+  #end(socket: Socket): void {
+    this.#endedSockets.add(socket)
+    socket.end()
+  }
+
+  #closeAfter(response: ServerResponse): void {
+    response.shouldKeepAlive = false
+    this.#endingSockets.add(response.req.socket)
+  }
+
+  #responseClosed(response: ServerResponse): void {
+    this.#openResponses.delete(response)
+    const { socket } = response.req
+    // A header that was sent before the stop did not announce that the connection closes.
+    if (this.#closing && ![...this.#openResponses].some(({ req }) => req.socket === socket)) this.#end(socket)
   }
 
   #handleRequest(request: IncomingMessage, response: ServerResponse): void {
@@ -122,12 +149,15 @@
       request.socket.destroy()
       return
     }
+    if (this.#closing || this.#endingSockets.has(request.socket)) return
     const arrivedAtMs = this.#options.clock.monotonicMs()
     this.#openResponses.add(response)
-    response.once('close', () => this.#openResponses.delete(response))
+    response.once('close', () => {
+      this.#responseClosed(response)
+    })
     response.on('error', () => undefined)
     request.on('error', () => undefined)
-    if (this.#draining || this.#options.shouldCloseConnections?.() === true) response.shouldKeepAlive = false
+    if (this.#draining || this.#options.shouldCloseConnections?.() === true) this.#closeAfter(response)
     const { directory } = this.#options
     const requestId = readRequestId(request.headers) ?? ''
     if (directory.routes === undefined) {
@@ -140,6 +170,10 @@
       return
     }
     this.#readBody(request, response, (body) => {
+      if (this.#closing) {
+        this.#refuse(request, response, 503, 'stopping')
+        return
+      }
       this.#options.dispatcher.dispatch({
         request,
         response,
@@ -179,7 +213,7 @@
         return
       }
       refused = true
-      response.shouldKeepAlive = false
+      this.#closeAfter(response)
       this.#refuse(request, response, 413, 'body_too_large')
     })
     request.once('end', () => {
@@ -200,7 +234,7 @@
     request.resume()
     response.writeHead(status, {
       'content-type': 'application/json',
-      ...generatedResponseHeaders(requestId, status === 503 ? notReadyRetryAfterMs : undefined),
+      ...generatedResponseHeaders(requestId, status === 503 ? unavailableRetryAfterMs : undefined),
     })
     response.end(JSON.stringify({ code, outcome: 'not-run' }))
   }
