Let targets of the stand-in and the soak name limits

The stand-in for targets could not name a limit, so neither the tests with real processes nor the soak could see hosts exceed one. Now it can, and three daemons as processes are tested with a limit of 2 a second on an owner of keys and on a target of unsafe requests: both get no more than allowed in any 4 s from 3 s after it was named, more than 0.8 of all requests are served, and no unsafe request runs twice or runs though refused. The soak has the limit among its faults, with values from 0 to 3.9.

--- a/packages/standins/src/gateway-process.test.ts
+++ b/packages/standins/src/gateway-process.test.ts
@@ -5,6 +5,7 @@
 import { test } from 'node:test'
 import { PlatformStore, storeTables } from '@pimentotally/platform'
 import { RowStoreServer, StoreFault, callerHeaders } from '@pimentotally/platform/testing'
+import { RateCheck } from '@pimentotally/core/testing'
 import { GatewayCluster, type GatewayProcess } from './gateway-cluster.js'
 
 interface CallerResponse {
@@ -200,6 +201,44 @@
   )
 })
 
+test('three hosts together keep within the limits that an owner of keys and another target name', async (t) => {
+  const cluster = await GatewayCluster.start({ hosts: 3 })
+  t.after(() => cluster.stop())
+  const limited = [cluster.notes[0], cluster.orders[0]]
+  const responses: CallerResponse[] = []
+  const agent = new Agent({ keepAlive: true })
+  t.after(() => {
+    agent.destroy()
+  })
+  let isSending = true
+  const send = async (caller: number): Promise<void> => {
+    for (let index = caller; isSending; index += 1) {
+      const path = index % 4 === 0 ? '/orders/1' : '/notes/1'
+      responses.push(await call(hostAt(cluster, index % 3), path, (index * 1637) % 65_536, agent))
+      await new Promise((resolve) => setTimeout(resolve, 20))
+    }
+  }
+  const senders = Array.from({ length: 4 }, (_, caller) => send(caller))
+  for (const target of limited) if (target !== undefined) target.requestLimit = 2
+  // All hosts have got a response that names the limit, and others have taken the owner's keys over.
+  await new Promise((resolve) => setTimeout(resolve, 3000))
+  const fromMs = performance.now()
+  await new Promise((resolve) => setTimeout(resolve, 8000))
+  isSending = false
+  await Promise.all(senders)
+  for (const target of limited) {
+    const check = new RateCheck()
+    check.limit(fromMs - 3000, 2)
+    check.told(fromMs - 3000, 'all')
+    for (const atMs of target?.arrivedAtMs ?? []) if (atMs >= fromMs) check.arrived(atMs, 'all')
+    if (target === cluster.orders[0]) assert.ok(check.counted > 0, 'a limited target is still used')
+    assert.ok(check.excess() <= 0, `${String(target?.id)}: ${String(check.excess())} beyond what is allowed`)
+  }
+  const served = responses.filter(({ status }) => status === 200).length
+  assert.ok(served > 0.8 * responses.length, `${String(served)} of ${String(responses.length)} are served`)
+  assertGuarantees(cluster, responses)
+})
+
 test('the store client reads all pages, follows changes, and tells a write that may have been made from a refused one', async (t) => {
   const server = await RowStoreServer.start()
   const store = new PlatformStore({ address: server.address, timeoutMs: 2000 })
--- a/packages/standins/src/gateway-soak.ts
+++ b/packages/standins/src/gateway-soak.ts
@@ -2,7 +2,7 @@
  * A randomised soak test of the gateway daemons as real processes. Faults are injected one after another and may
  * overlap: processes are paused, killed or stopped by signals, and restarted; connections to the store and the targets
  * go silent, are reset, or lose the bytes of one direction; the store refuses, does not answer, answers slowly or loses
- * responses. Callers send all the time, some of them on keep-alive connections. During the run it is checked that no
+ * responses; targets name limits on their requests. Callers send all the time, some of them on keep-alive connections. During the run it is checked that no
  * two targets hold a key; afterwards, from what callers and targets recorded, that the daemons recovered, that no unsafe
  * request ran twice or ran although it was refused, and that each caller got its own response.
  */
@@ -99,6 +99,7 @@
       ['store slow', () => this.#storeFault(StoreFault.slow)],
       ['store silent', () => this.#storeFault(StoreFault.silent)],
       ['store loses answers', () => this.#storeFault(StoreFault.loseWrites)],
+      ['target limited', () => this.#limitTarget()],
       ['connections silent', () => this.#failLink((forwarder) => forwarder.silence())],
       ['link cut', () => this.#failLink((forwarder) => forwarder.cutAll())],
       [
@@ -140,6 +141,14 @@
     }
   }
 
+  #limitTarget(): () => void {
+    const target = this.#pick(this.#cluster.targets)
+    target.requestLimit = this.#random.integer(40) / 10
+    return () => {
+      target.requestLimit = undefined
+    }
+  }
+
   #failLink(cut: (forwarder: Forwarder) => void): () => void {
     const forwarder = this.#pick(this.#forwarders)
     cut(forwarder)
