--- a/packages/routing/src/request-limit.ts
+++ b/packages/routing/src/request-limit.ts
@@ -44,6 +44,13 @@
   return silentMs >= turn * turnMs ? rate : 0
 }
 
+/** A refused request: the wait that it is refused for, its rank, and the longest time to its retry. */
+export interface RefusalTiming {
+  readonly waitMs: number
+  readonly rank: number
+  readonly maxMs: number
+}
+
 /** A token bucket: counts the requests that this host sends to one target that names a limit. */
 export class RequestLimiter {
   #tokens = 0
@@ -98,9 +105,3 @@
     this.#tokens = Math.min(capacity, this.#tokens + (rate * elapsedMs) / 1000)
   }
 }
-
-export interface RefusalTiming {
-  readonly waitMs: number
-  readonly rank: number
-  readonly maxMs: number
-}
