Do not take a limit that comes back from another host for news

What was seen: in a test of two hosts whose reports take 150 ms to arrive, a response of 20 s ago seemed 12.5 s old. The hosts that may not send to a limited target count the time since it was last heard of, so with slow reports they take their turn too late.

Cause: the age of a statement leaves out its time on the way, and each host took the returning statement for a newer one.

Change: a statement of the limit that is known already counts only if it is newer by more than a report can take. A different one counts as before.

Evidence: the new test failed before (12500 ms after 20 s) and passes.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -107,8 +107,8 @@
   }
 
   /**
-   * Accepts no more connections and dispatches no more requests, ends idle connections, and resolves when no request is in flight, or after
-   * `timeoutMs`. Returns the number of requests that are still in flight.
+   * Accepts no more connections and dispatches no more requests, ends idle connections, and resolves when no
+   * request is in flight, or after `timeoutMs`. Returns the number of requests that are still in flight.
    */
   async closeWhenDrained(timeoutMs: number): Promise<number> {
     const { clock } = this.#options
--- a/packages/gateway/src/peer-reports.ts
+++ b/packages/gateway/src/peer-reports.ts
@@ -3,8 +3,8 @@
  * targets, to the leader or to a host on the way to it; a host that does not lead adds the reports that it
  * receives to its own next one. The response is the guidance that the leader computes from all reports: the
  * share of the requests that each overloaded owner may be sent, the mean number of requests at a target of
- * each service, and the speed of each target. Reports and responses also tell the limits that targets name. Load pattern: a hundred hosts, each of which gets a response
- * from a given target every ten seconds.
+ * each service, and the speed of each target. Reports and responses also tell the limits that targets name.
+ * Load pattern: a hundred hosts, each of which gets a response from a given target every ten seconds.
  */
 import type { Clock, Logger } from '@pimentotally/core'
 import { HttpClient } from '@pimentotally/http'
--- a/packages/gateway/src/target-limits.test.ts
+++ b/packages/gateway/src/target-limits.test.ts
@@ -161,6 +161,23 @@
   assert.ok(world.received.limited - before > 80, 'almost all of 60 requests a second')
 })
 
+test('what two hosts tell each other again and again does not look as if it had just been heard', async () => {
+  const world = new LimitWorld({ seed: 7, hosts: 2 })
+  const [first, second] = world.hosts
+  assert.ok(first !== undefined && second !== undefined)
+  observe(first, { requestLimit: '1', sentAtMs: 0 })
+  // Each report takes 150 ms to arrive.
+  for (let round = 0; round < 50; round += 1) {
+    const [from, to] = round % 2 === 0 ? [first, second] : [second, first]
+    const statements = from.targets.limits.statements()
+    await world.time.advance(150)
+    to.targets.limits.merge(statements)
+    await world.time.advance(250)
+  }
+  const [statement] = first.targets.limits.statements()
+  assert.ok((statement?.ageMs ?? 0) > 18_000, `${String(statement?.ageMs)} ms after 20 s`)
+})
+
 test('a response to a request that was sent before the limit was named does not end the limit', () => {
   const { host, target } = singleHost()
   observe(host, { requestLimit: '1', sentAtMs: 0 })
--- a/packages/gateway/src/target-limits.ts
+++ b/packages/gateway/src/target-limits.ts
@@ -15,6 +15,11 @@
 const statementLifetimeMs = 30_000
 /** A limit that was named for this long is taken for a lasting one. */
 const lastingMs = 1000
+/**
+ * The age of a statement does not include its time on the way, so the same statement seems newer when it comes
+ * back from another host. No report takes this long.
+ */
+const maxReportMs = 1000
 /** Most statements in one message; if more targets name a limit, the latest heard ones are told. */
 const maxStatements = 100
 
@@ -170,8 +175,11 @@
       const target = directory.target(id)
       if (target === undefined || target.startedAtEpochMs !== (startedAtEpochMs ?? undefined)) continue
       const heardAtMs = nowMs - ageMs
-      if (ageMs > statementLifetimeMs || heardAtMs <= (this.#of(target)?.heardAtMs ?? -Infinity)) continue
-      this.#set(target, { requestsPerSecond: requestsPerSecond ?? undefined, heardAtMs })
+      const told = { requestsPerSecond: requestsPerSecond ?? undefined, heardAtMs }
+      const known = this.#of(target)
+      const marginMs = known?.requestsPerSecond === told.requestsPerSecond ? maxReportMs : 0
+      const isNewer = known === undefined || heardAtMs > known.heardAtMs + marginMs
+      if (isNewer && ageMs <= statementLifetimeMs) this.#set(target, told)
     }
   }
 
