Choose a target and send to it in one step, also after a wait for a move

What callers and targets saw: when a range of keys had moved, all requests that had waited for it were sent to the new owner at once, whatever limit it named and however cold it was: 31 requests at once to an owner that names 1 a second, where 11 are allowed in 4 s, and 40 in a second to a cold one, where 23 are allowed.

Cause: a request that waits was selected in one asynchronous function and sent in another. Requests whose waits end together were all selected, each seeing the same room, before the first of them was counted as sent.

Ruled out: the limiter itself (each single selection was right, and the sequential test of 60 calls passes); retries and hedges (none was sent).

Evidence: both new tests fail without the change (40 requests within a second; 31 requests within 4 s) and pass with it.

Why it works: selection, check and record happen without a pause in between.

--- a/packages/gateway/src/dispatcher.test.ts
+++ b/packages/gateway/src/dispatcher.test.ts
@@ -152,6 +152,21 @@
   )
 })
 
+test('requests that wait for a move do not exceed the rate of the cold new owner when it ends', async (t) => {
+  const former = await startTarget(t, 'a', answerWith(200))
+  const owner = await startTarget(t, 'b', answerWith(200))
+  const gateway = await TestGateway.start(t, [former], { isSharded: true })
+  gateway.addTarget(owner, { coldRemainingMs: 60_000 })
+  gateway.assign('b', { version: 2, formerOwner: 'a' })
+  const responses = Array.from({ length: 40 }, () => gateway.call('/notes/1', { fields: { key: 7 } }))
+  await sleep(100)
+  gateway.assign('b', { version: 3 })
+  await Promise.all(responses)
+  // A cold target of the service tolerates 12 requests a second, and the platform allows 1.5 times that and 5.
+  const { length } = owner.receivedIds
+  assert.ok(length > 0 && length <= 23, `${String(length)} requests within a second`)
+})
+
 test('a large response is forwarded to its end although its target leaves the target registry meanwhile', async (t) => {
   // More than is buffered, so that the rest is forwarded while it arrives.
   const half = 'x'.repeat(2 * maxBufferedBytes)
--- a/packages/gateway/src/proxied-request.ts
+++ b/packages/gateway/src/proxied-request.ts
@@ -165,10 +165,22 @@
     return this.#nowMs() - this.#inbound.arrivedAtMs
   }
 
+  /**
+   * Sends the request to a target, or refuses it. While its key is moving to another owner, waits for the end of
+   * the move, but no longer than a share of the time left.
+   */
   async #send(kind: SendKind): Promise<void> {
     if (this.#finished) return
-    const selection = await this.#selectAfterMove()
-    if (selection === undefined) return
+    const { directory } = this.#options
+    const untilMs = this.#nowMs() + moveWaitMs(this.#leftMs())
+    let selection = this.#select()
+    while (isKeyMoving(selection) && this.#nowMs() < untilMs) {
+      await directory.waitForAssignmentChange(Math.max(1, untilMs - this.#nowMs()))
+      if (this.#finished) return
+      selection = this.#select()
+    }
+    // Nothing is awaited between the choice and the sending: requests whose waits end together would otherwise
+    // all be chosen for before the first one counts against the target's limits.
     const refusal = 'refusal' in selection ? selection.refusal : this.#refuseRepeat(kind, selection.target)
     if (refusal === undefined) {
       this.#sendTo(selection as ChosenTarget)
@@ -178,23 +190,6 @@
     if (kind !== 'hedge') this.#endWithoutTarget(refusal)
   }
 
-  /**
-   * Selects a target. While the request's key is moving to another owner, waits for the end of the move, but
-   * no longer than a share of the time left. Returns undefined when the request has ended meanwhile.
-   */
-  async #selectAfterMove(): Promise<Selection | undefined> {
-    const { directory } = this.#options
-    let selection = this.#select()
-    if (!isKeyMoving(selection)) return selection
-    const untilMs = this.#nowMs() + moveWaitMs(this.#leftMs())
-    while (isKeyMoving(selection) && this.#nowMs() < untilMs) {
-      await directory.waitForAssignmentChange(Math.max(1, untilMs - this.#nowMs()))
-      if (this.#finished) return undefined
-      selection = this.#select()
-    }
-    return selection
-  }
-
   #select(): Selection {
     const { match, key } = this.#inbound
     return this.#dispatcher.selector.select({
--- a/packages/gateway/src/target-limits.test.ts
+++ b/packages/gateway/src/target-limits.test.ts
@@ -1,12 +1,13 @@
 /** Limits on requests that targets name, over all hosts: in virtual time, and over real sockets. */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { RateCheck } from '@pimentotally/core/testing'
 import { answerHeaders, requestIdOf } from '@pimentotally/platform/testing'
 import { RequestLimiter } from '@pimentotally/routing'
 import type { KnownTarget } from './directory.js'
 import { LimitWorld, type WorldHost } from './testing-limits.js'
-import { TestGateway, startTarget } from './testing-gateway.js'
+import { TestGateway, answerWith, startTarget, type TestResponse } from './testing-gateway.js'
 
 /** A deployment of one host, and the target that owns all keys. */
 const singleHost = (): {
@@ -83,6 +84,26 @@
   assert.ok(statuses.includes(503), 'the others are refused at once')
 })
 
+test('requests that wait for a move do not exceed the limit of the new owner when it ends', async (t) => {
+  const former = await startTarget(t, 'a', answerWith(200))
+  const owner = await startTarget(t, 'b', (request, response) => {
+    response.writeHead(200, answerHeaders(requestIdOf(request), { requestLimit: '1' })).end('body')
+  })
+  const gateway = await TestGateway.start(t, [former, owner], { isSharded: true })
+  gateway.assign('b', { version: 1 })
+  const call = (): Promise<TestResponse> => gateway.call('/notes/1', { fields: { key: 7 } })
+  assert.equal((await call()).status, 200)
+  // By the limit, there is room for one request after a second.
+  await sleep(1050)
+  gateway.assign('b', { version: 2, formerOwner: 'a' })
+  const responses = Promise.all(Array.from({ length: 30 }, call))
+  await sleep(100)
+  gateway.assign('b', { version: 3 })
+  const served = (await responses).filter(({ status }) => status === 200).length
+  assert.ok(served > 0, 'the request for which there is room is served')
+  assert.ok(owner.receivedIds.length <= 11, `${String(owner.receivedIds.length)} requests within 4 s`)
+})
+
 for (const [hosts, limit] of [
   [10, 1],
   [10, 3.5],
--- a/packages/gateway/src/testing-gateway.ts
+++ b/packages/gateway/src/testing-gateway.ts
@@ -228,9 +228,10 @@
     }
   }
 
-  /** Registers another target. */
-  addTarget({ id, address }: TestTarget): void {
-    this.directory.applyTargetRegistry({ changed: [targetRow({ id, address })], removed: [], version: 2 })
+  /** Registers another target; with `coldRemainingMs`, as one that is cold for so long. */
+  addTarget({ id, address }: TestTarget, { coldRemainingMs }: { coldRemainingMs?: number } = {}): void {
+    const changed = [targetRow({ id, address, coldRemainingMs })]
+    this.directory.applyTargetRegistry({ changed, removed: [], version: 2 })
   }
 
   /** Removes the target's entry, and what the host keeps about it. */
