Keep the limit of a target whose registry entry is missing for a while

What targets would see: a target that is cut off from the store for some seconds loses its entry, and gets it back with the same process. All hosts had forgotten its limit by then and sent without one until its next response.

Cause: what is known of a limit was dropped together with the entry. The platform's rule counts a host as told from the first response on, whatever the registry says meanwhile.

Change: a limit of a target without an entry is kept for as long as it is told to other hosts (30 s after it was last heard), and dropped then.

Evidence: the new test of a missing entry fails without the change; a second test, that a target that left is forgotten, passes before and after.

--- a/packages/gateway/src/target-limits.test.ts
+++ b/packages/gateway/src/target-limits.test.ts
@@ -3,7 +3,7 @@
 import { test } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { RateCheck } from '@pimentotally/core/testing'
-import { answerHeaders, requestIdOf } from '@pimentotally/platform/testing'
+import { answerHeaders, requestIdOf, targetRow } from '@pimentotally/platform/testing'
 import { RequestLimiter } from '@pimentotally/routing'
 import type { KnownTarget } from './directory.js'
 import { LimitWorld, type WorldHost } from './testing-limits.js'
@@ -182,6 +182,25 @@
   assert.ok(world.received.limited - before > 80, 'almost all of 60 requests a second')
 })
 
+test('the limit of a target whose entry is missing for a while still binds when the entry is back', () => {
+  const { host, target } = singleHost()
+  observe(host, { requestLimit: '1', sentAtMs: 0 })
+  host.directory.applyTargetRegistry({ changed: [], removed: ['t0'], version: 20 })
+  host.targets.dropRemovedTargets()
+  const changed = [targetRow({ id: 't0', address: target.address })]
+  host.directory.applyTargetRegistry({ changed, removed: [], version: 21 })
+  assert.equal(host.targets.limits.requestsPerSecond(target), 1)
+})
+
+test('the limit of a target that has left is forgotten after some time', async () => {
+  const { world, host } = singleHost()
+  observe(host, { requestLimit: '1', sentAtMs: 0 })
+  host.directory.applyTargetRegistry({ changed: [], removed: ['t0'], version: 20 })
+  await world.time.advance(60_000)
+  host.targets.dropRemovedTargets()
+  assert.equal(host.targets.limits.limitedTargets, 0)
+})
+
 test('what two hosts tell each other again and again does not look as if it had just been heard', async () => {
   const world = new LimitWorld({ seed: 7, hosts: 2 })
   const [first, second] = world.hosts
--- a/packages/gateway/src/target-limits.ts
+++ b/packages/gateway/src/target-limits.ts
@@ -193,10 +193,15 @@
     return known.requestsPerSecond
   }
 
-  /** Drops what is known of targets that have left the target registry. */
+  /**
+   * Drops what is known of targets that left the target registry some time ago. The entry of a target that
+   * cannot reach the store is missing for some seconds, and its limit still holds when the entry is back.
+   */
   dropRemovedTargets(): void {
-    for (const id of this.#known.keys()) {
+    const nowMs = this.#options.clock.monotonicMs()
+    for (const [id, { heardAtMs }] of this.#known) {
       if (this.#options.directory.target(id) !== undefined) continue
+      if (nowMs - heardAtMs < statementLifetimeMs) continue
       this.#known.delete(id)
       this.#loggedAtMs.delete(id)
     }
