Keep within a target's limit also while hosts hear nothing from each other

What targets saw, in virtual time: with many requests and no reports between hosts (no leader, or a cut), a limited owner got up to 25 requests in 4 s more than is allowed (195 hosts, limit 20). A limited target that stopped responding got 121 too many without reports and 42 with them (40 hosts, limit 5).

Cause: hosts that were not picked by the hash send after 5, 10, 15 ... seconds of silence. Each host that hears only its own responses counts this silence by itself, so that the turns add up: to 1.57 times the limit with 195 hosts and a limit of 20, beyond the 1.5 that are allowed. And a request without a response did not end the silence, so that in the end every host sent at the full rate.

Ruled out: missing rows and bursts (the same without missing rows; a host's bucket holds one second); the worlds that passed before had 0.3 requests a second for each host, too few to use what the silence allowed.

Change: what all hosts that were not picked send together is bounded by a sixth of the limit, each request followed by a long wait, spread by rank. The quick turns stay for hosts that hear what others hear, and only after their last request got a response. Together at most 5 L + L in 4 s, where 6 L + 5 are allowed.

Evidence: the five new tests fail without the change (25, 2, 3, 42 and 121 beyond what is allowed) and pass with it; all earlier tests pass unchanged.

--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -120,6 +120,7 @@
         this.#peerReports.observeOccupancy(target, occupancy)
       },
       meanOccupancy: (service) => this.#peerReports.occupancy(service),
+      hearsOtherHosts: () => this.#peerReports.hasCurrentGuidance(),
     })
     this.#peerReports = new PeerReports({
       clock,
--- a/packages/gateway/src/peer-reports.ts
+++ b/packages/gateway/src/peer-reports.ts
@@ -195,12 +195,12 @@
 
   /** Share of the requests for a target's keys that may be sent to it; 1 unless current guidance has one. */
   share(target: string): number {
-    return this.#hasCurrentGuidance() ? (this.#guidance.shares[target] ?? 1) : 1
+    return this.hasCurrentGuidance() ? (this.#guidance.shares[target] ?? 1) : 1
   }
 
   /** Mean number of requests at a target of the service; undefined unless current guidance names one. */
   occupancy(service: string): number | undefined {
-    return this.#hasCurrentGuidance() ? this.#guidance.occupancy[service] : undefined
+    return this.hasCurrentGuidance() ? this.#guidance.occupancy[service] : undefined
   }
 
   /** Reports until `stop`. A lost report only makes the guidance less exact, so it is not repeated. */
@@ -251,7 +251,7 @@
     this.#options.limits.merge(report.limits ?? [])
     if (this.#isLeader()) this.#addToTotals(report)
     else this.#addToNextReport(report)
-    if (!this.#hasCurrentGuidance()) return { status: 503 }
+    if (!this.hasCurrentGuidance()) return { status: 503 }
     const { speeds, ...guidance } = this.#guidance
     const rest = { ...guidance, limits: this.#options.limits.statements() }
     const hasLatestSpeeds = report.speedsVersion === rest.speedsVersion
@@ -263,7 +263,8 @@
     return leader?.leader === this.#options.processId && !leader.released
   }
 
-  #hasCurrentGuidance(): boolean {
+  /** Whether this host leads, or hears from the leader what all hosts reported. */
+  hasCurrentGuidance(): boolean {
     return this.#options.clock.monotonicMs() - this.#guidanceAtMs < guidanceLifetimeMs
   }
 
--- a/packages/gateway/src/target-limits.test.ts
+++ b/packages/gateway/src/target-limits.test.ts
@@ -121,6 +121,32 @@
   })
 }
 
+for (const [hosts, limit, isSharded] of [
+  [195, 20, true],
+  [195, 5, true],
+  [39, 10, false],
+] as const) {
+  test(`${String(hosts)} hosts that hear nothing from each other do not exceed a limit of ${String(limit)} a second under many requests`, async () => {
+    const world = new LimitWorld({ seed: 8, hosts, isSharded, requestsPerSecond: 1000 })
+    await world.run(1000)
+    world.limit(limit)
+    await world.run(40_000)
+    assert.ok(world.check.excess() <= 0, `${String(world.check.excess())} beyond what is allowed`)
+  })
+}
+
+for (const reports of [true, false]) {
+  test(`a limited target that stops responding to hosts ${reports ? 'with' : 'without'} reports gets no more than its limit`, async () => {
+    const world = new LimitWorld({ seed: 9, hosts: 40, requestsPerSecond: 600, reports })
+    await world.run(1000)
+    world.limit(5)
+    await world.run(5000)
+    world.isResponding = false
+    await world.run(40_000)
+    assert.ok(world.check.excess() <= 0, `${String(world.check.excess())} beyond what is allowed`)
+  })
+}
+
 for (const limit of [0.5, 1, 3.5, 20]) {
   test(`an owner of keys gets most of the requests that its limit of ${String(limit)} a second allows`, async () => {
     const world = new LimitWorld({ seed: 3, hosts: 10, requestsPerSecond: 60, reports: true })
--- a/packages/gateway/src/target-limits.ts
+++ b/packages/gateway/src/target-limits.ts
@@ -83,6 +83,8 @@
   readonly logger: Logger
   readonly directory: Directory
   readonly hostName: string
+  /** Whether the statements of other hosts reach this one; without it, they count as if they did not. */
+  readonly hearsOtherHosts?: () => boolean
 }
 
 export class TargetLimits {
@@ -144,7 +146,7 @@
 
   /** Records that this host sends the target a request. */
   recordSent(id: string): void {
-    this.#known.get(id)?.limiter.record()
+    this.#known.get(id)?.limiter.record(this.#options.clock.monotonicMs())
   }
 
   /** Requests a second that the target accepts from all hosts together; undefined when it names no limit. */
@@ -208,14 +210,17 @@
   }
 
   /** This host's part of the target's limit, in requests a second. */
-  #rate({ id }: KnownTarget, { requestsPerSecond = 0, heardAtMs }: KnownLimit): number {
-    const { clock, hostName, directory } = this.#options
+  #rate({ id }: KnownTarget, { requestsPerSecond = 0, heardAtMs, limiter }: KnownLimit): number {
+    const { clock, hostName, directory, hearsOtherHosts } = this.#options
+    const nowMs = clock.monotonicMs()
     return hostRequestRate({
       requestsPerSecond,
       targetId: id,
       hostName,
       hostNames: directory.hostNames,
-      silentMs: clock.monotonicMs() - heardAtMs,
+      silentMs: nowMs - heardAtMs,
+      unsentMs: nowMs - limiter.sentAtMs,
+      hearsOtherHosts: hearsOtherHosts?.() ?? false,
     })
   }
 
--- a/packages/gateway/src/target-observations.ts
+++ b/packages/gateway/src/target-observations.ts
@@ -66,6 +66,8 @@
   readonly reachability?: Reachability
   /** Mean number of requests at a target of the service, over all hosts; undefined while it is not known. */
   readonly meanOccupancy?: (service: string) => number | undefined
+  /** Whether what other hosts hear of targets reaches this one. */
+  readonly hearsOtherHosts?: () => boolean
 }
 
 /** What this host observes of one target; instants are on the monotonic clock. */
--- a/packages/gateway/src/testing-limits.ts
+++ b/packages/gateway/src/testing-limits.ts
@@ -15,6 +15,8 @@
 const workMs = 40
 const deadlineMs = 2000
 const reportIntervalMs = 350
+/** A host counts what it was told by others as current for this long. */
+const guidanceLifetimeMs = 1800
 
 export interface LimitWorldOptions {
   readonly seed: number
@@ -36,6 +38,8 @@
   readonly directory: Directory
   readonly targets: TargetObservations
   readonly selector: TargetSelector
+  /** When the host last exchanged reports with the first one, on its clock. */
+  guidedAtMs: number
 }
 
 export class LimitWorld {
@@ -50,6 +54,8 @@
   readonly retryAfterMs: number[] = []
   /** As the first target writes it in its responses; undefined for none. */
   limitText: string | undefined
+  /** Whether the first target responds. */
+  isResponding = true
   readonly #options: Required<LimitWorldOptions>
   readonly #random: Random
   /** Start of the first target's process. */
@@ -113,6 +119,12 @@
       this.received.limited += 1
       this.check.arrived(sentAtMs, host.name)
     }
+    if (target.id === 't0' && !this.isResponding) {
+      host.clock.schedule(deadlineMs, () => {
+        targets.ended(target.id)
+      })
+      return selection
+    }
     const requestLimit = target.id === 't0' ? this.limitText : undefined
     host.clock.schedule(workMs, () => {
       targets.ended(target.id)
@@ -153,7 +165,13 @@
         value: encodeHost(record),
       })
     }
-    const targets = new TargetObservations({ clock, logger, directory, hostName: name })
+    const targets: TargetObservations = new TargetObservations({
+      clock,
+      logger,
+      directory,
+      hostName: name,
+      hearsOtherHosts: (): boolean => clock.monotonicMs() - host.guidedAtMs < guidanceLifetimeMs,
+    })
     const selector = new TargetSelector({
       clock,
       random: this.#random,
@@ -163,7 +181,14 @@
       admittedShare: () => 1,
       routeWorkMs: () => workMs,
     })
-    const host = { name, clock, directory, targets, selector }
+    const host: WorldHost = {
+      name,
+      clock,
+      directory,
+      targets,
+      selector,
+      guidedAtMs: Number.NEGATIVE_INFINITY,
+    }
     if (this.#options.reports) this.#scheduleReport(host)
     return host
   }
@@ -171,9 +196,10 @@
   #scheduleReport(host: WorldHost): void {
     host.clock.schedule(reportIntervalMs, () => {
       const leader = this.hosts[0]
-      if (leader !== undefined && leader !== host && !leader.clock.paused) {
+      if (leader !== undefined && !leader.clock.paused) {
         leader.targets.limits.merge(host.targets.limits.statements())
         host.targets.limits.merge(leader.targets.limits.statements())
+        host.guidedAtMs = host.clock.monotonicMs()
       }
       this.#scheduleReport(host)
     })
--- a/packages/routing/src/request-limit.ts
+++ b/packages/routing/src/request-limit.ts
@@ -1,9 +1,10 @@
 /**
  * Limits the rate at which all hosts together send requests to a target that names a limit itself, without a
  * message before each request. The limit is divided equally among a few hosts, which rendezvous hashing picks:
- * not more of them than requests a second, because each may send one request at any moment. The other hosts
- * send nothing while some host is heard to get responses from the target. Load pattern: a target in need names
- * a limit far below what its keys demand, and is reached through all hosts.
+ * not more of them than requests a second, because each may send one request at any moment. The others send
+ * only when nothing was heard of the target for long, as the picked ones may have stopped, or have no requests
+ * for it. Load pattern: a target in need names a limit far below what its keys demand, and is reached through
+ * all hosts.
  */
 import { hostRank, type HostRankOptions } from './rendezvous.js'
 
@@ -15,33 +16,55 @@
  */
 const minRequestsPerSecond = 0.1
 /**
- * When nothing was heard of the target for this long, as many further hosts may send to it: the picked ones
- * may have stopped, or have no requests for it.
+ * While hosts tell each other what they hear of the target, as many further hosts may send to it after each
+ * such time without a response.
  */
 const silenceMs = 5000
 /** Silence is at least this many times the interval between two requests of a host. */
 const silenceIntervals = 2
+/**
+ * All hosts that were not picked may together send this share of the limit on top of it, one request each and
+ * then a long wait, however little they hear.
+ */
+const reserveShare = 1 / 6
+/**
+ * These waits are spread over this range, as shares of their mean, so that hosts that heard of the target last
+ * at the same time do not send to it together.
+ */
+const reserveWaits = { shortest: 0.25, longest: 1.5 } as const
 
 export interface HostRequestRateOptions extends HostRankOptions {
   /** Requests a second that the target accepts from all hosts together. */
   readonly requestsPerSecond: number
   /** Time since the last response of the target that this host knows of. */
   readonly silentMs: number
+  /** Time since this host last sent the target a request. */
+  readonly unsentMs: number
+  /** Whether this host learns of the responses that other hosts get. */
+  readonly hearsOtherHosts: boolean
 }
 
 /** This host's part of the target's limit, in requests a second; 0 when it must not send to the target. */
 export const hostRequestRate = ({
   requestsPerSecond,
   silentMs,
+  unsentMs,
+  hearsOtherHosts,
   ...hosts
 }: HostRequestRateOptions): number => {
   const { rank, count } = hostRank(hosts)
   const total = Math.max(minRequestsPerSecond, requestsPerSecond)
   const senders = Math.min(count, Math.max(1, Math.floor(total)))
   const rate = total / senders
-  const turn = Math.floor(rank / senders)
+  if (rank < senders) return rate
+  const isAnswered = silentMs <= unsentMs
   const turnMs = Math.max(silenceMs, (silenceIntervals * 1000) / rate)
-  return silentMs >= turn * turnMs ? rate : 0
+  if (hearsOtherHosts && isAnswered && silentMs >= Math.floor(rank / senders) * turnMs) return rate
+  const reserves = count - senders
+  const { shortest, longest } = reserveWaits
+  const meanWaitMs = (reserves * 1000) / (reserveShare * total)
+  const waitMs = meanWaitMs * (shortest + ((longest - shortest) * (rank - senders)) / reserves)
+  return Math.min(silentMs, unsentMs) >= waitMs ? rate : 0
 }
 
 /** A refused request: the wait that it is refused for, its rank, and the longest time to its retry. */
@@ -59,15 +82,22 @@
   readonly #refusedAtMs: number[] = []
   /** Callers that were refused are expected back until this time, one after another. */
   #expectedUntilMs = 0
+  /** When a request was last sent. */
+  #sentAtMs = Number.NEGATIVE_INFINITY
 
   /** The bucket is empty at first, because requests were sent until the limit was known. */
   constructor(nowMs: number) {
     this.#refilledAtMs = nowMs
   }
 
+  get sentAtMs(): number {
+    return this.#sentAtMs
+  }
+
   /** Called when a request is sent. */
-  record(): void {
+  record(nowMs: number): void {
     this.#tokens -= 1
+    this.#sentAtMs = nowMs
   }
 
   /**
