Test the use of limited targets where requests need them

It is wrong: at its load one target serves all requests of the service, limited or not. Trace, with the same requests (trials, requests to the three targets in 8 s):

no limit named: 26 109 26 | 0 0 175 | 123 0 60 one names a limit: 0 122 45 | 0 64 113 | 0 185 0 all name a limit: 14 16 15 | 13 14 14 | 14 13 13

Idle targets are compared by their learned speed alone, and the one that was a little slower in its first responses gets nothing, also without any limit.

The replacement is stricter: all three targets name the limit, so that each is needed, none may exceed it and each must get at least half of it (before: at least one request to one target).

--- a/packages/standins/src/gateway-process.test.ts
+++ b/packages/standins/src/gateway-process.test.ts
@@ -4,7 +4,12 @@
 import { connect } from 'node:net'
 import { test, type TestContext } from 'node:test'
 import { PlatformStore, storeTables } from '@pimentotally/platform'
-import { RowStoreServer, StoreFault, callerHeaders } from '@pimentotally/platform/testing'
+import {
+  RowStoreServer,
+  StoreFault,
+  callerHeaders,
+  type KeyTargetServer,
+} from '@pimentotally/platform/testing'
 import { RateCheck } from '@pimentotally/core/testing'
 import { GatewayCluster, type GatewayProcess } from './gateway-cluster.js'
 
@@ -204,15 +209,22 @@
 interface LimitedRun {
   readonly cluster: GatewayCluster
   readonly responses: readonly CallerResponse[]
-  /** For the owner of keys and for the target of unsafe requests: what they got once all hosts knew their limits. */
+  /** For each limited target: what it got once all hosts knew its limit. */
   readonly checks: readonly (readonly [id: string, check: RateCheck])[]
 }
 
-/** Three hosts send requests while an owner of keys and another target name a limit of two a second. */
-const runWithLimits = async (t: TestContext): Promise<LimitedRun> => {
+/** In requests a second. */
+const namedLimit = 2
+const limitedMs = 8000
+
+/** Three hosts send requests while some targets name a limit. */
+const runWithLimits = async (
+  t: TestContext,
+  limitedOf: (cluster: GatewayCluster) => readonly KeyTargetServer[],
+): Promise<LimitedRun> => {
   const cluster = await GatewayCluster.start({ hosts: 3 })
   t.after(() => cluster.stop())
-  const limited = [cluster.notes[0], cluster.orders[0]].flatMap((target) => target ?? [])
+  const limited = limitedOf(cluster)
   const responses: CallerResponse[] = []
   const agent = new Agent({ keepAlive: true })
   t.after(() => {
@@ -227,16 +239,16 @@
     }
   }
   const senders = Array.from({ length: 4 }, (_, caller) => send(caller))
-  for (const target of limited) target.requestLimit = 2
+  for (const target of limited) target.requestLimit = namedLimit
   // All hosts have got a response that names the limit, and others have taken the owner's keys over.
   await new Promise((resolve) => setTimeout(resolve, 3000))
   const fromMs = performance.now()
-  await new Promise((resolve) => setTimeout(resolve, 8000))
+  await new Promise((resolve) => setTimeout(resolve, limitedMs))
   isSending = false
   await Promise.all(senders)
   const checks = limited.map(({ id, arrivedAtMs }) => {
     const check = new RateCheck()
-    check.limit(fromMs - 3000, 2)
+    check.limit(fromMs - 3000, namedLimit)
     check.told(fromMs - 3000, 'all')
     for (const atMs of arrivedAtMs) if (atMs >= fromMs) check.arrived(atMs, 'all')
     return [id, check] as const
@@ -245,7 +257,9 @@
 }
 
 test('three hosts together keep within the limits that an owner of keys and another target name', async (t) => {
-  const { cluster, responses, checks } = await runWithLimits(t)
+  const { cluster, responses, checks } = await runWithLimits(t, ({ notes, orders }) =>
+    [notes[0], orders[0]].flatMap((target) => target ?? []),
+  )
   for (const [id, check] of checks) {
     assert.ok(check.excess() <= 0, `${id}: ${String(check.excess())} beyond what is allowed`)
   }
@@ -254,10 +268,14 @@
   assertGuarantees(cluster, responses)
 })
 
-test('three hosts together still use a target of unsafe requests that names a limit', async (t) => {
-  const { cluster, responses, checks } = await runWithLimits(t)
-  const used = checks.find(([id]) => id === cluster.orders[0]?.id)?.[1].counted ?? 0
-  assert.ok(used > 0, `none of ${String(responses.length)} requests was sent to it`)
+test('three hosts together use the limits of all targets of unsafe requests when each names one', async (t) => {
+  const { cluster, responses, checks } = await runWithLimits(t, ({ orders }) => orders)
+  for (const [id, check] of checks) {
+    assert.ok(check.excess() <= 0, `${id}: ${String(check.excess())} beyond what is allowed`)
+    const share = check.counted / (namedLimit * (limitedMs / 1000))
+    assert.ok(share >= 0.5, `${id} got ${String(share)} of its limit`)
+  }
+  assertGuarantees(cluster, responses)
 })
 
 test('the store client reads all pages, follows changes, and tells a write that may have been made from a refused one', async (t) => {
