Take no port in tests that another test file may take meanwhile

Test files run beside each other. Some tests looked for a free port, gave it back, and listened there later; and the targets of daemon.test, where nothing may listen, had ports that another file's servers could get, so that its hosts could send requests to the servers of other tests.

The server for callers listens on port 0 and returns its port; the targets of daemon.test have ports below 1024.

--- a/packages/gateway/src/caller-server.test.ts
+++ b/packages/gateway/src/caller-server.test.ts
@@ -10,7 +10,6 @@
 import { CallerServer } from './caller-server.js'
 import { Directory } from './directory.js'
 import type { Dispatcher, InboundRequest } from './dispatcher.js'
-import { freePort } from './testing.js'
 
 const start = async (
   dispatch: (inbound: InboundRequest) => void,
@@ -25,9 +24,7 @@
     directory,
     dispatcher: { dispatch } as unknown as Dispatcher,
   })
-  const port = await freePort()
-  await server.listen(`127.0.0.1:${String(port)}`)
-  return { server, port }
+  return { server, port: await server.listen('127.0.0.1:0') }
 }
 
 const requestHead = 'GET /notes/1 HTTP/1.1\r\nHost: shop.example\r\n\r\n'
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -89,7 +89,8 @@
     return this.#sockets.size
   }
 
-  listen(address: string): Promise<void> {
+  /** Resolves to the port. */
+  listen(address: string): Promise<number> {
     return listenOn(this.#server, { ...splitAddress(address), backlog: acceptBacklog })
   }
 
--- a/packages/gateway/src/daemon.test.ts
+++ b/packages/gateway/src/daemon.test.ts
@@ -52,7 +52,8 @@
   const configuration = configurationRow()
   store.write(storeTables.operator, configuration.key, configuration.value)
   for (const [index, domain] of ['b', 'b', 'c', 'c'].entries()) {
-    const address = `${ip}:${String(await freePort())}`
+    // A free port may be in use by another test file soon.
+    const address = `${ip}:${String(1 + index)}`
     const row = targetRow({ id: `target-${String(index)}`, address, domain })
     store.write(storeTables.targetRegistry, row.key, row.value)
   }
--- a/packages/gateway/src/peer-server.ts
+++ b/packages/gateway/src/peer-server.ts
@@ -55,7 +55,7 @@
     return (await this.#handlers.get(`${method} ${pathname}`)?.(searchParams, body)) ?? { status: 404 }
   }
 
-  listen(host: string, port: number): Promise<void> {
+  listen(host: string, port: number): Promise<number> {
     return listenOn(this.#server, { host, port })
   }
 
--- a/packages/gateway/src/status-server.ts
+++ b/packages/gateway/src/status-server.ts
@@ -30,7 +30,7 @@
     })
   }
 
-  listen(host: string, port: number): Promise<void> {
+  listen(host: string, port: number): Promise<number> {
     return listenOn(this.#server, { host, port })
   }
 
--- a/packages/gateway/src/testing-gateway.ts
+++ b/packages/gateway/src/testing-gateway.ts
@@ -29,7 +29,6 @@
 import { routerStateKeys } from './router-state-rows.js'
 import { TargetExchange, type ExchangeResult } from './target-exchange.js'
 import { TargetObservations } from './target-observations.js'
-import { freePort } from './testing.js'
 
 export type Handler = (request: IncomingMessage, response: ServerResponse) => void
 
@@ -204,8 +203,7 @@
       admittedShare: () => 1,
     })
     const server = new CallerServer({ clock, logger, directory, dispatcher })
-    const port = await freePort()
-    await server.listen(`127.0.0.1:${String(port)}`)
+    const port = await server.listen('127.0.0.1:0')
     t.after(() => server.closeWhenDrained(0))
     return new TestGateway(directory, observations, port)
   }
--- a/packages/http/src/listen.ts
+++ b/packages/http/src/listen.ts
@@ -1,5 +1,5 @@
 /** Binds a server to an address. */
-import type { Server } from 'node:net'
+import type { AddressInfo, Server } from 'node:net'
 
 export interface ListenOptions {
   readonly host: string
@@ -8,12 +8,12 @@
   readonly backlog?: number
 }
 
-/** Resolves when the server listens; rejects when the address cannot be bound. */
-export const listenOn = (server: Server, options: ListenOptions): Promise<void> =>
+/** Resolves to the port when the server listens; rejects when the address cannot be bound. Port 0 is any free one. */
+export const listenOn = (server: Server, options: ListenOptions): Promise<number> =>
   new Promise((resolve, reject) => {
     server.once('error', reject)
     server.listen(options, () => {
       server.off('error', reject)
-      resolve()
+      resolve((server.address() as AddressInfo).port)
     })
   })
