Show with random worlds and mutations what keeps hosts within a named limit

scripts/check-defences.mjs had no rows for limits, and their worlds had no faults together: lost reports, a target that does not respond, missing entries, paused and restarted hosts, limits that end and come back.

--- a/packages/gateway/src/testing-limits.ts
+++ b/packages/gateway/src/testing-limits.ts
@@ -56,6 +56,8 @@
   limitText: string | undefined
   /** Whether the first target responds. */
   isResponding = true
+  /** Whether reports between hosts are lost. */
+  losesReports = false
   readonly #options: Required<LimitWorldOptions>
   readonly #random: Random
   /** Start of the first target's process. */
@@ -147,6 +149,16 @@
     for (const { directory } of this.hosts) this.#register(directory)
   }
 
+  /** The first target's entry is missing from the target registry, or is back. */
+  setRegistered(isRegistered: boolean): void {
+    this.#rowVersion += 1
+    for (const { directory, targets } of this.hosts) {
+      if (isRegistered) this.#register(directory)
+      else directory.applyTargetRegistry({ changed: [], removed: ['t0'], version: this.#rowVersion })
+      targets.dropRemovedTargets()
+    }
+  }
+
   #startHost(index: number): WorldHost {
     const clock = this.time.clock()
     const logger = new SilentLogger()
@@ -196,7 +208,7 @@
   #scheduleReport(host: WorldHost): void {
     host.clock.schedule(reportIntervalMs, () => {
       const leader = this.hosts[0]
-      if (leader !== undefined && !leader.clock.paused) {
+      if (leader !== undefined && !leader.clock.paused && !this.losesReports) {
         leader.targets.limits.merge(host.targets.limits.statements())
         host.targets.limits.merge(leader.targets.limits.statements())
         host.guidedAtMs = host.clock.monotonicMs()
--- a/packages/routing/src/request-limit.ts
+++ b/packages/routing/src/request-limit.ts
@@ -23,13 +23,14 @@
 /** Silence is at least this many times the interval between two requests of a host. */
 const silenceIntervals = 2
 /**
- * All hosts that were not picked may together send this share of the limit on top of it, one request each and
- * then a long wait, however little they hear.
+ * A host that was not picked may also send one request after a long wait, however little it hears. With equal
+ * waits, all of them together would send this share of the limit on top of it; as the waits differ, they send
+ * about a quarter of the limit.
  */
 const reserveShare = 1 / 6
 /**
- * These waits are spread over this range, as shares of their mean, so that hosts that heard of the target last
- * at the same time do not send to it together.
+ * The waits are spread over this range, as multiples of an equal one, so that hosts that heard of the target
+ * last at the same time do not send to it together.
  */
 const reserveWaits = { shortest: 0.25, longest: 1.5 } as const
 
@@ -62,8 +63,8 @@
   if (hearsOtherHosts && isAnswered && silentMs >= Math.floor(rank / senders) * turnMs) return rate
   const reserves = count - senders
   const { shortest, longest } = reserveWaits
-  const meanWaitMs = (reserves * 1000) / (reserveShare * total)
-  const waitMs = meanWaitMs * (shortest + ((longest - shortest) * (rank - senders)) / reserves)
+  const equalWaitMs = (reserves * 1000) / (reserveShare * total)
+  const waitMs = equalWaitMs * (shortest + ((longest - shortest) * (rank - senders)) / reserves)
   return Math.min(silentMs, unsentMs) >= waitMs ? rate : 0
 }
 
--- a/scripts/check-defences.mjs
+++ b/scripts/check-defences.mjs
@@ -1,8 +1,9 @@
-// Mutation tests of the ownership protocol: for each defence against two owners of a key, removes it in a
-// copy of the built files under target/ and runs the ownership tests against that copy. Prints a table of the
-// results. Fails when a change does not apply, when tests fail on the unchanged copy, or when the random
-// tests pass without a defence that has no second one behind it. Build first. Arguments narrow the run to
-// rows whose name contains one of them; the unchanged copy always runs.
+// Mutation tests of the ownership protocol and of the limits that targets name: for each defence against two
+// owners of a key, or against more requests than a limit allows, removes it in a copy of the built files under
+// target/ and runs the tests of its suite against that copy. Prints a table of the results. Fails when a change
+// does not apply, when tests fail on the unchanged copy, or when the random tests pass without a defence that
+// they reach and that has no second one behind it. Build first. Arguments narrow the run to rows whose name
+// contains one of them; the unchanged copies always run.
 import { execFile } from 'node:child_process'
 import { cpSync, mkdirSync, readFileSync, rmSync, symlinkSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
@@ -20,13 +21,15 @@
 ]
 const packages = [...copied, 'packages/gateway', 'platform']
 
-const suites = {
+const ownershipTests = {
   directed: ['ownership', 'ownership-bounds', 'target-grants', 'directory'],
   random: ['ownership-faults'],
 }
+const limitTests = { directed: ['target-limits'], random: ['target-limit-faults'] }
 
 const gateway = (name) => `packages/gateway/dist/${name}.js`
 const assignment = (name) => `packages/assignment/dist/${name}.js`
+const requestLimit = 'packages/routing/dist/request-limit.js'
 
 const anyIdCountsAsProof = [
   gateway('directory'),
@@ -38,9 +41,10 @@
 /**
  * Each row is named after the fault that its changes cause. A change is a file, a text that occurs in it
  * exactly once, and the text that replaces it. `isBacked` marks a defence with a second one behind it: the
- * directed tests must fail without the one, and the random tests without both.
+ * directed tests must fail without the one, and the random tests without both. `isOutOfReach` marks one that
+ * the random tests cannot reach, because they do without connections and callers: the directed tests must fail.
  */
-const defences = [
+const ownershipDefences = [
   { name: 'nothing', changes: [] },
   {
     name: 'the service controllers are recreated when the lease is renewed late',
@@ -146,6 +150,67 @@
   },
 ]
 
+const limitDefences = [
+  { name: 'nothing, limits', changes: [] },
+  {
+    name: 'each host takes the whole limit for itself',
+    changes: [[requestLimit, 'const rate = total / senders;', 'const rate = total;']],
+  },
+  {
+    name: 'hosts that were not picked send as well',
+    changes: [[requestLimit, 'if (rank < senders)', 'if (true)']],
+  },
+  {
+    name: 'hosts take turns by what they hear alone',
+    changes: [[requestLimit, 'hearsOtherHosts && isAnswered', 'isAnswered']],
+  },
+  {
+    name: 'a request without a response does not end a host’s turn',
+    changes: [
+      [requestLimit, 'const isAnswered = silentMs <= unsentMs;', 'const isAnswered = true;'],
+      [requestLimit, 'Math.min(silentMs, unsentMs)', 'silentMs'],
+    ],
+  },
+  {
+    name: 'the waits of the other hosts are too short',
+    changes: [[requestLimit, 'const reserveShare = 1 / 6;', 'const reserveShare = 3;']],
+  },
+  {
+    name: 'a host saves up requests for a minute',
+    changes: [[requestLimit, 'const burstMs = 1000;', 'const burstMs = 60000;']],
+  },
+  {
+    name: 'requests are not counted when they are sent',
+    changes: [[gateway('target-observations'), 'this.limits.recordSent(id);', '']],
+  },
+  {
+    name: 'requests that are chosen for together are counted afterwards',
+    isOutOfReach: true,
+    changes: [
+      [
+        gateway('proxied-request'),
+        "const refusal = 'refusal' in selection",
+        "await undefined;\n        const refusal = 'refusal' in selection",
+      ],
+    ],
+  },
+  {
+    name: 'a response to a request from before the limit ends it',
+    isOutOfReach: true,
+    changes: [[gateway('target-limits'), '|| sentAtMs < known.heardAtMs', '']],
+  },
+  {
+    name: 'a limit is forgotten while the target’s entry is missing',
+    isOutOfReach: true,
+    changes: [[gateway('target-limits'), 'if (nowMs - heardAtMs < statementLifetimeMs)', 'if (false)']],
+  },
+]
+
+const defences = [
+  ...ownershipDefences.map((row) => ({ ...row, tests: ownershipTests })),
+  ...limitDefences.map((row) => ({ ...row, tests: limitTests })),
+]
+
 const root = join('target', 'defences')
 
 const copy = ({ changes }, dir) => {
@@ -196,8 +261,8 @@
 const work = async () => {
   for (let next = queue.shift(); next !== undefined; next = queue.shift()) {
     const { row, dir } = next
-    const directed = await runTests(dir, suites.directed)
-    const random = await runTests(dir, suites.random)
+    const directed = await runTests(dir, row.tests.directed)
+    const random = await runTests(dir, row.tests.random)
     results.set(row, { directed, random })
     console.error(`${row.name}: ${[...directed.failed, ...random.failed].join('; ') || 'pass'}`)
   }
@@ -213,7 +278,7 @@
   const { directed, random } = results.get(row)
   return row.changes.length === 0
     ? directed.text !== 'pass' || random.text !== 'pass'
-    : !/^\d+ fail$/.test(row.isBacked === true ? directed.text : random.text)
+    : !/^\d+ fail$/.test(row.isBacked === true || row.isOutOfReach === true ? directed.text : random.text)
 })
 for (const { name } of unexpected) console.log(`unexpected result: ${name}`)
 process.exitCode = unexpected.length === 0 ? 0 : 1
