Say why keys are not served when the test of a killed leader fails

The known red test printed statuses only. Its failure now quotes the daemon's lines about these requests and failed connections. What it checks is unchanged.

--- a/packages/standins/src/gateway-process.test.ts
+++ b/packages/standins/src/gateway-process.test.ts
@@ -200,10 +200,13 @@
   await cluster.waitFor(() => other.outputLines.some((line) => /"leader.changed".*"term":2/.test(line)))
   const responses: CallerResponse[] = []
   for (let key = 0; key < 65_536; key += 3000) responses.push(await call(other, '/notes/1', key))
-  assert.deepEqual(
-    responses.filter(({ status }) => status !== 200),
-    [],
+  const failed = responses.filter(({ status }) => status !== 200)
+  const lines = other.outputLines.filter(
+    (line) =>
+      line.includes('target.connect_failed') ||
+      failed.some(({ requestId }) => line.includes(`"${requestId}"`)),
   )
+  assert.deepEqual(failed, [], [JSON.stringify(failed), ...lines].join('\n'))
 })
 
 interface LimitedRun {
