Let two tests of a limit's end share their steps

They differed in the reports between hosts and the time until the end is known. Both keep their seeds and bounds; one is renamed, as it is about all hosts. Two long comment lines of the soak are wrapped.

--- a/packages/gateway/src/target-limits.test.ts
+++ b/packages/gateway/src/target-limits.test.ts
@@ -159,27 +159,21 @@
   })
 }
 
-test('requests are sent without limit again once a target names none any more', async () => {
-  const world = new LimitWorld({ seed: 4, hosts: 10, requestsPerSecond: 60, reports: true })
-  world.limit(2)
-  await world.run(10_000)
-  world.limit(undefined)
-  await world.run(2000)
-  const before = world.received.limited
-  await world.run(5000)
-  assert.ok(world.received.limited - before > 200, 'almost all of 60 requests a second')
-})
-
-test('a host that hears nothing from the others still learns that a limit has ended', async () => {
-  const world = new LimitWorld({ seed: 4, hosts: 10, requestsPerSecond: 60 })
-  world.limit(2)
-  await world.run(10_000)
-  world.limit(undefined)
-  await world.run(60_000)
-  const before = world.received.limited
-  await world.run(5000)
-  assert.ok(world.received.limited - before > 200, 'almost all of 60 requests a second')
-})
+for (const [name, reports, untilKnownMs] of [
+  ['requests are sent without limit again once a target names none any more', true, 2000],
+  ['hosts that hear nothing from the others still learn that a limit has ended', false, 60_000],
+] as const) {
+  test(name, async () => {
+    const world = new LimitWorld({ seed: 4, hosts: 10, requestsPerSecond: 60, reports })
+    world.limit(2)
+    await world.run(10_000)
+    world.limit(undefined)
+    await world.run(untilKnownMs)
+    const before = world.received.limited
+    await world.run(5000)
+    assert.ok(world.received.limited - before > 200, 'almost all of 60 requests a second')
+  })
+}
 
 test('keys are served although the hosts that may send to their limited owner are gone', async () => {
   const world = new LimitWorld({ seed: 5, hosts: 10, requestsPerSecond: 60 })
--- a/packages/standins/src/gateway-soak-main.ts
+++ b/packages/standins/src/gateway-soak-main.ts
@@ -1,4 +1,7 @@
-/** Command line of the soak test: `node packages/standins/dist/gateway-soak-main.js --seeds 50 [--from SEED] [--hosts 60]`. */
+/**
+ * Command line of the soak test: `node packages/standins/dist/gateway-soak-main.js --seeds 50 [--from SEED]
+ * [--hosts 60]`.
+ */
 import { randomInt } from 'node:crypto'
 import yargs from 'yargs'
 import { runSoak } from './gateway-soak.js'
--- a/packages/standins/src/gateway-soak.ts
+++ b/packages/standins/src/gateway-soak.ts
@@ -2,9 +2,10 @@
  * A randomised soak test of the gateway daemons as real processes. Faults are injected one after another and may
  * overlap: processes are paused, killed or stopped by signals, and restarted; connections to the store and the targets
  * go silent, are reset, or lose the bytes of one direction; the store refuses, does not answer, answers slowly or loses
- * responses; targets name limits on their requests. Callers send all the time, some of them on keep-alive connections. During the run it is checked that no
- * two targets hold a key; afterwards, from what callers and targets recorded, that the daemons recovered, that no unsafe
- * request ran twice or ran although it was refused, and that each caller got its own response.
+ * responses; targets name limits on their requests. Callers send all the time, some of them on keep-alive connections.
+ * During the run it is checked that no two targets hold a key; afterwards, from what callers and targets recorded, that
+ * the daemons recovered, that no unsafe request ran twice or ran although it was refused, and that each caller got its
+ * own response.
  */
 import { Agent, request as httpRequest } from 'node:http'
 import { Random } from '@pimentotally/core'
