Give the test of an expired permit a deadline that no stall reaches

Trace: an unusable permit is asked for again, up to three times. If the deadline of the request (2 s) passes meanwhile, the refusal says so, which is true, and the request has not run.

The deadline of this test's service is 60 s now. Its assertions are unchanged.

--- a/packages/proxy/src/faults.test.ts
+++ b/packages/proxy/src/faults.test.ts
@@ -298,7 +298,8 @@
 
 test('a permit that expired while the connection was opened is not used', async () => {
   const scripted = await target(run)
-  const router = await host({ targets: [scripted] })
+  // The deadline must not pass before the attempts have ended, however slow the machine is.
+  const router = await host({ targets: [scripted], services: [service({ requestTimeoutMs: 60_000 })] })
   router.isPermitUsable = false
   const reply = await send(router.address, booking('k'))
   assert.deepEqual([reply?.outcome, reply?.code], ['not-run', 'permit_expired'])
