--- a/review/3/main.mjs
+++ b/review/3/main.mjs
@@ -1,6 +1,7 @@
 /**
- * A daemon is stopped with SIGTERM while it has requests, and SIGTERM is sent once more a second later, within
- * the grace time. Every request that the daemon had passed on to an upstream by then must get its answer.
+ * A share of the upstreams spoils a share of its answers, by writing one wrong byte into the head: a space in
+ * the name of a header field, or a status code below 100. Such bytes are not a response. Every request must
+ * still get an answer at its route's timeout at the latest.
  */
 import { Balancer, newId, send } from '../lib/client.mjs'
 import { Record } from '../lib/record.mjs'
@@ -11,24 +12,45 @@
 const hasTrouble = process.env.TROUBLE !== '0'
 const zones = ['a', 'b', 'c']
 const deadlineMs = 2500
-const intervalMs = 16
-const calmMs = 4000
-const repeatedAfterMs = 1000
-const restMs = 8000
-const graceMs = 6000
+const timeoutMs = 1200
+const intervalMs = 12
+const calmMs = 3500
+const troubleMs = 20_000
+const restMs = 1000
+/** Largest dose of the site file for spoiled answers: 0.6 of the upstreams, 0.03 of their answers. */
+const spoilingShare = 0.6
+const spoiltEvery = 34
+/** The rule: eight or more requests, and more than a quarter of those that reach the timeout. */
+const leastHeld = 8
 
 const record = new Record(new URL('record.txt', import.meta.url))
 
+const head = (status, fields) =>
+  `HTTP/1.1 ${status}\r\n${Object.entries(fields)
+    .map(([name, value]) => `${name}: ${value}\r\n`)
+    .join('')}\r\n`
+
+const spoilers = [
+  ({ fields, body }) => head('200 OK', fields).replace('X-Instance-Load', 'X Instance-Load') + body,
+  ({ fields, body }) => head('020 OK', fields) + body,
+]
+
 const main = async () => {
   const store = await Store.start()
   const upstreams = []
-  for (const [index, zone] of [...zones, ...zones].entries()) {
-    const id = `i-deposits-${index + 1}`
-    upstreams.push(await Upstream.start({ store, id, service: 'deposits', zone, workMs: 210 }))
+  for (const service of ['deposits', 'slate-prices']) {
+    for (const [index, zone] of [...zones, ...zones].entries()) {
+      const id = `i-${service}-${index + 1}`
+      const workMs = service === 'deposits' ? 210 : 64
+      upstreams.push(await Upstream.start({ store, id, service, zone, workMs }))
+    }
   }
-  const route = { name: 'deposit-confirm', prefix: '/deposits/', type: 'unsafe', service: 'deposits' }
-  const times = { timeout: '1200ms', targetLatency: '600ms', priority: 1, maxAttempts: 2 }
-  store.write('op', 'config', configuration(1, [{ name: 'deposits' }], [{ ...route, ...times }]))
+  const times = { timeout: `${timeoutMs}ms`, targetLatency: '600ms', priority: 1, maxAttempts: 2 }
+  const routes = [
+    { name: 'deposit-confirm', prefix: '/deposits/', type: 'unsafe', service: 'deposits', ...times },
+    { name: 'price-check', prefix: '/prices/', type: 'safe', service: 'slate-prices', ...times },
+  ]
+  store.write('op', 'config', configuration(1, [{ name: 'deposits' }, { name: 'slate-prices' }], routes))
   const system = await System.start({ store, zones })
   const balancer = new Balancer(system.daemons)
   const seen = []
@@ -38,59 +60,69 @@
     for (let turn = 0; !isOver; turn += 1) {
       const id = newId()
       const daemon = balancer.pick(zones[turn % zones.length])
-      const sent = send(daemon, {
-        method: 'POST',
-        path: `/deposits/${id}`,
-        id,
-        deadlineMs,
-        body: `pay ${id}`,
-      })
-      pending.push(sent.then((result) => seen.push(result)))
+      const request =
+        Math.floor(turn / zones.length) % 2 === 0
+          ? { method: 'POST', path: `/deposits/${id}`, body: `pay ${id}` }
+          : { method: 'GET', path: `/prices/${id}` }
+      pending.push(send(daemon, { ...request, id, deadlineMs }).then((result) => seen.push(result)))
       await sleep(intervalMs)
     }
   })()
   await sleep(calmMs)
-  const [stopped] = system.daemons
-  const termMs = performance.now()
-  record.line(`SIGTERM to ${stopped.name}`)
-  stopped.signal('SIGTERM')
+  record.line('upstreams begin to spoil answers')
+  const spoiling = upstreams.filter((_, index) => index % 6 < Math.floor(6 * spoilingShare))
+  let spoilt = 0
   if (hasTrouble) {
-    await sleep(repeatedAfterMs)
-    record.line(`SIGTERM to ${stopped.name}, once more`)
-    stopped.signal('SIGTERM')
+    for (const upstream of spoiling) {
+      let answers = 0
+      upstream.spoil = (answer) => {
+        answers += 1
+        if (answers % spoiltEvery !== 0) return undefined
+        spoilt += 1
+        return spoilers[spoilt % spoilers.length](answer)
+      }
+    }
   }
+  await sleep(troubleMs)
+  for (const upstream of spoiling) upstream.spoil = () => undefined
+  record.line('upstreams answer soundly again')
   await sleep(restMs)
   isOver = true
   await traffic
   await Promise.all(pending)
   balancer.stop()
 
-  const [exit] = stopped.exits
-  record.line(`${stopped.name} ended, code ${exit?.code}, signal ${exit?.signal}`, exit?.atMs)
-  const arrivals = new Map(upstreams.flatMap(({ arrivals }) => arrivals.map((each) => [each.id, each])))
-  for (const { id, daemon, startedMs, outcome, status, tookMs } of seen) {
-    const passedOn = arrivals.get(id)
-    const run = passedOn === undefined ? 'not passed on' : passedOn.ran ? 'ran' : 'passed on'
-    record.line(`${id} to ${daemon}: ${outcome} ${status} after ${tookMs.toFixed(0)} ms, ${run}`, startedMs)
+  const spoiledIds = new Set(upstreams.flatMap(({ spoiled }) => [...spoiled]))
+  const ranIds = new Set(
+    upstreams.flatMap(({ arrivals }) => arrivals.filter(({ ran }) => ran)).map(({ id }) => id),
+  )
+  for (const { id, path, daemon, startedMs, outcome, status, tookMs } of seen) {
+    const what = spoiledIds.has(id) ? ', its answer was spoiled' : ''
+    const run = ranIds.has(id) ? 'ran' : 'did not run'
+    const sent = `${path.split('/')[1]} ${id} to ${daemon}`
+    record.line(`${sent}: ${outcome} ${status} after ${tookMs.toFixed(0)} ms, ${run}${what}`, startedMs)
   }
-  const isCut = ({ id, daemon, startedMs, tookMs, outcome }) =>
-    daemon === stopped.name &&
-    outcome !== 'answered' &&
-    outcome !== 'refused' &&
-    arrivals.has(id) &&
-    startedMs + tookMs < termMs + graceMs + 1000 &&
-    tookMs < 1200
-  const cut = seen.filter(isCut)
-  const answered = seen.filter(({ status }) => status === 200).length
-  record.print(`requests ${seen.length}, answered with success ${answered}`)
-  record.print(`${stopped.name} ended ${((exit?.atMs - termMs) / 1000).toFixed(2)} s after the first SIGTERM`)
-  record.print(`LOST: passed on to an upstream and then cut without an answer: ${cut.length}`)
-  for (const { id } of cut) record.print(`  cut: ${id}, ran at the upstream: ${arrivals.get(id).ran}`)
+  const atTimeout = seen.filter(({ tookMs }) => tookMs >= timeoutMs)
+  const held = atTimeout.filter(({ tookMs }) => tookMs > timeoutMs + 500)
+  const never = held.filter(({ outcome }) => outcome !== 'answered')
+  const isUnsafe = ({ path }) => path.startsWith('/deposits/')
+  record.print(`requests ${seen.length}, with a spoiled answer ${spoiledIds.size}`)
+  record.print(`unanswered at the route's timeout: ${atTimeout.length}`)
+  record.print(`CONFIG: of these, still without an answer half a second later: ${held.length}`)
+  record.print(
+    `never answered: ${never.length}, of these deposits that ran: ${never.filter(isUnsafe).filter(({ id }) => ranIds.has(id)).length}`,
+  )
+  const thrown = system.daemons
+    .flatMap(({ lines }) => lines)
+    .filter((line) => line.includes('process.uncaught'))
+  record.print(`uncaught errors in the daemons' logs: ${thrown.length}`)
+  for (const line of thrown.slice(0, 4)) record.line(`daemon: ${JSON.stringify(JSON.parse(line).error)}`)
   await system.stop()
   for (const upstream of upstreams) upstream.exit()
   store.close()
-  const isCalm = seen.some(({ startedMs, status }) => startedMs < termMs && status === 200)
-  return exit === undefined || !isCalm ? 2 : cut.length > 0 ? 1 : 0
+  const isCalm = seen.filter(({ status }) => status === 200).length > seen.length / 2
+  if (!isCalm || system.daemons.some(({ starts }) => starts > 1)) return 2
+  return held.length >= leastHeld && held.length > atTimeout.length / 4 ? 1 : 0
 }
 
 main().then(
--- a/review/5/main.mjs
+++ b/review/5/main.mjs
@@ -1,51 +1,44 @@
 /**
- * A share of the upstreams spoils a share of its answers: one byte of the head is wrong, so that the answer has
- * no `X-Response-Signature`. No client may get a success without the upstream's signature.
+ * An upstream leaves as planned while the platform's store is down, so that only its answers say so.
+ * No daemon may send it a request of a client later than `drain` after it has passed on such an answer.
  */
 import { Balancer, newId, send } from '../lib/client.mjs'
 import { Record } from '../lib/record.mjs'
 import { Store } from '../lib/store.mjs'
 import { System, configuration, sleep } from '../lib/system.mjs'
-import { Upstream } from '../lib/upstream.mjs'
+import { Upstream, leaseMs } from '../lib/upstream.mjs'
 
 const hasTrouble = process.env.TROUBLE !== '0'
 const zones = ['a', 'b', 'c']
 const deadlineMs = 2500
-const timeoutMs = 1200
-const intervalMs = 12
-const calmMs = 3500
-const troubleMs = 20_000
-const restMs = 1000
-/** Largest dose of the site file for spoiled answers: 0.6 of the upstreams, 0.03 of their answers. */
-const spoilingShare = 0.6
-const spoiltEvery = 34
+const intervalMs = 15
+const calmMs = 5000
+/** Longest outage of the whole store in the site file; the leases of the entries run out meanwhile. */
+const outageMs = 8000
+const leavesAfterMs = 500
+const restMs = 4000
+const drainMs = 2000
+/** The upstream goes on serving for `drain` after its entry has been removed, and a little longer. */
+const servingMs = drainMs + 1000
 
 const record = new Record(new URL('record.txt', import.meta.url))
 
-const head = (status, fields) =>
-  `HTTP/1.1 ${status}\r\n${Object.entries(fields)
-    .map(([name, value]) => `${name}: ${value}\r\n`)
-    .join('')}\r\n`
-
-const spoilAnswer = ({ fields, body }) =>
-  head('200 OK', fields).replace('X-Response-Signature', 'X-Response-Signaturf') + body
-
 const main = async () => {
   const store = await Store.start()
   const upstreams = []
-  for (const service of ['deposits', 'slate-prices']) {
-    for (const [index, zone] of [...zones, ...zones].entries()) {
-      const id = `i-${service}-${index + 1}`
-      const workMs = service === 'deposits' ? 210 : 64
-      upstreams.push(await Upstream.start({ store, id, service, zone, workMs }))
-    }
+  for (const [index, zone] of [...zones, ...zones].entries()) {
+    const id = `i-deposits-${index + 1}`
+    upstreams.push(await Upstream.start({ store, id, service: 'deposits', zone, workMs: 210 }))
   }
-  const times = { timeout: `${timeoutMs}ms`, targetLatency: '600ms', priority: 1, maxAttempts: 2 }
-  const routes = [
-    { name: 'deposit-confirm', prefix: '/deposits/', type: 'unsafe', service: 'deposits', ...times },
-    { name: 'price-check', prefix: '/prices/', type: 'safe', service: 'slate-prices', ...times },
-  ]
-  store.write('op', 'config', configuration(1, [{ name: 'deposits' }, { name: 'slate-prices' }], routes))
+  const times = { timeout: '1200ms', targetLatency: '600ms', priority: 1, maxAttempts: 2 }
+  const route = {
+    name: 'deposit-confirm',
+    prefix: '/deposits/',
+    type: 'unsafe',
+    service: 'deposits',
+    ...times,
+  }
+  store.write('op', 'config', configuration(1, [{ name: 'deposits' }], [route]))
   const system = await System.start({ store, zones })
   const balancer = new Balancer(system.daemons)
   const seen = []
@@ -55,62 +48,78 @@
     for (let turn = 0; !isOver; turn += 1) {
       const id = newId()
       const daemon = balancer.pick(zones[turn % zones.length])
-      const request =
-        Math.floor(turn / zones.length) % 2 === 0
-          ? { method: 'POST', path: `/deposits/${id}`, body: `pay ${id}` }
-          : { method: 'GET', path: `/prices/${id}` }
-      pending.push(send(daemon, { ...request, id, deadlineMs }).then((result) => seen.push(result)))
+      const sent = send(daemon, {
+        method: 'POST',
+        path: `/deposits/${id}`,
+        id,
+        deadlineMs,
+        body: `pay ${id}`,
+      })
+      pending.push(sent.then((result) => seen.push(result)))
       await sleep(intervalMs)
     }
   })()
   await sleep(calmMs)
-  record.line('upstreams begin to spoil answers')
-  const spoiling = upstreams.filter((_, index) => index % 6 < Math.floor(6 * spoilingShare))
+  const [leaving] = upstreams
   if (hasTrouble) {
-    for (const upstream of spoiling) {
-      let answers = 0
-      upstream.spoil = (answer) => {
-        answers += 1
-        if (answers % spoiltEvery !== 0) return undefined
-        return spoilAnswer(answer)
-      }
-    }
+    record.line('the store is down')
+    store.isSilent = true
+    setTimeout(() => {
+      record.line('the leases of the entries have run out')
+      for (const upstream of upstreams) upstream.lapse()
+    }, leaseMs)
+    setTimeout(() => {
+      store.isSilent = false
+      record.line('the store is back')
+    }, outageMs)
   }
-  await sleep(troubleMs)
-  for (const upstream of spoiling) upstream.spoil = () => undefined
-  record.line('upstreams answer soundly again')
-  await sleep(restMs)
+  await sleep(leavesAfterMs)
+  record.line(`${leaving.id} leaves, and says so in its answers`)
+  void leaving.leave(servingMs).then(() => record.line(`the entry of ${leaving.id} is removed`))
+  await sleep(outageMs + restMs)
   isOver = true
   await traffic
   await Promise.all(pending)
   balancer.stop()
 
-  const spoiledIds = new Set(upstreams.flatMap(({ spoiled }) => [...spoiled]))
-  const ranIds = new Set(
-    upstreams.flatMap(({ arrivals }) => arrivals.filter(({ ran }) => ran)).map(({ id }) => id),
-  )
-  for (const { id, path, daemon, startedMs, outcome, status, tookMs } of seen) {
-    const what = spoiledIds.has(id) ? ', its answer was spoiled' : ''
-    const run = ranIds.has(id) ? 'ran' : 'did not run'
-    const sent = `${path.split('/')[1]} ${id} to ${daemon}`
-    record.line(`${sent}: ${outcome} ${status} after ${tookMs.toFixed(0)} ms, ${run}${what}`, startedMs)
+  const arrivals = new Map(leaving.arrivals.map((each) => [each.id, each]))
+  const heardMs = new Map()
+  for (const { daemon, startedMs, tookMs, headers } of seen) {
+    if (headers['server-leaving'] !== '1' || headers['x-instance-id'] !== leaving.id) continue
+    heardMs.set(daemon, Math.min(heardMs.get(daemon) ?? Infinity, startedMs + tookMs))
   }
-  const unsigned = seen.filter(
-    ({ status, headers }) => status === 200 && headers['x-response-signature'] === undefined,
+  for (const [daemon, ms] of heardMs)
+    record.line(`${daemon} has passed on the first answer with Server-Leaving`, ms)
+  const late = seen.filter(
+    ({ id, daemon, startedMs }) =>
+      arrivals.has(id) && startedMs > (heardMs.get(daemon) ?? Infinity) + drainMs,
   )
-  const isUnsafe = ({ path }) => path.startsWith('/deposits/')
-  for (const { id, path, startedMs, tookMs } of unsigned) {
-    record.line(`MIXED: ${path.split('/')[1]} ${id} got 200 without a signature`, startedMs + tookMs)
+  for (const { id, daemon, startedMs, outcome, status } of seen) {
+    if (!arrivals.has(id)) continue
+    const afterMs = startedMs - (heardMs.get(daemon) ?? Infinity)
+    const after = afterMs > 0 ? `, sent ${afterMs.toFixed(0)} ms after ${daemon} had heard` : ''
+    record.line(`${id} by ${daemon} to ${leaving.id}: ${outcome} ${status}${after}`, startedMs)
   }
-  record.print(`requests ${seen.length}, with a spoiled answer ${spoiledIds.size}`)
-  record.print(`MIXED: clients that got a success without a signature: ${unsigned.length}`)
-  record.print(`  of these for deposits: ${unsigned.filter(isUnsafe).length}`)
+  const longest = Math.max(0, ...late.map(({ daemon, startedMs }) => startedMs - heardMs.get(daemon)))
+  record.print(
+    `requests ${seen.length}, answered with success ${seen.filter(({ status }) => status === 200).length}`,
+  )
+  record.print(
+    `daemons that have passed on an answer with Server-Leaving: ${heardMs.size} of ${system.daemons.length}`,
+  )
+  record.print(
+    `DRAIN: requests that reached ${leaving.id} later than ${drainMs} ms after that: ${late.length}`,
+  )
+  record.print(`the latest was sent ${longest.toFixed(0)} ms after it`)
+  const lost = seen.filter(
+    ({ id, status }) => arrivals.get(id)?.ran && arrivals.get(id).answered === undefined && status !== 200,
+  )
+  record.print(`deposits that ran there and whose answer was lost when it ended: ${lost.length}`)
+  const hasRestarted = system.daemons.some(({ starts }) => starts > 1)
   await system.stop()
   for (const upstream of upstreams) upstream.exit()
   store.close()
-  const isCalm = seen.filter(({ status }) => status === 200).length > seen.length / 2
-  if (!isCalm || system.daemons.some(({ starts }) => starts > 1)) return 2
-  return unsigned.length > 0 ? 1 : 0
+  return hasRestarted || (hasTrouble && heardMs.size === 0) ? 2 : late.length > 0 ? 1 : 0
 }
 
 main().then(
