--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -101,6 +101,13 @@
 thawSlack = "300ms"
 `
 
+/** Processes that run; none of them outlives this one. */
+const children = new Set()
+process.once('exit', () => {
+  for (const child of children) child.kill('SIGKILL')
+})
+for (const signal of ['SIGINT', 'SIGTERM']) process.once(signal, () => process.exit(2))
+
 /** One daemon. After it has ended it is started again, as the platform does, until the system stops. */
 export class Daemon {
   lines = []
@@ -123,11 +130,13 @@
       stdio: ['ignore', 'pipe', 'pipe'],
     })
     this.#child = child
+    children.add(child)
     const keep = (chunk) => this.lines.push(...chunk.toString().split('\n').filter(Boolean))
     child.stdout.on('data', keep)
     child.stderr.on('data', keep)
     this.ended = new Promise((resolve) => {
       child.once('exit', (code, signal) => {
+        children.delete(child)
         this.exits.push({ atMs: performance.now(), code, signal })
         resolve()
         if (!this.#stopped) setTimeout(() => this.#stopped || this.start(), 500)
