--- a/packages/assignment/src/assignment.test.ts
+++ b/packages/assignment/src/assignment.test.ts
@@ -244,6 +244,7 @@
     renewal: 1,
     released: false,
     hasLongGrants: false,
+    era: 0,
   }
   const held = new HeldLease(times, { monotonicMs: 0, wallMs: 1_000_000 })
   const observed = new ObservedLease(times, 0)
@@ -265,6 +266,7 @@
     renewal: 7,
     released: false,
     hasLongGrants: false,
+    era: 0,
   }
   observed.observe(record, 0)
   observed.observe({ ...record }, 900)
@@ -359,6 +361,7 @@
     renewal: 1,
     released: false,
     hasLongGrants: false,
+    era: 0,
   }
   lease.observe(record, 0)
   lease.observe({ ...record, term: 6 }, 2300)
--- a/packages/assignment/src/election.ts
+++ b/packages/assignment/src/election.ts
@@ -18,6 +18,8 @@
   readonly released: boolean
   /** Whether grants of this leader or an earlier one may still last for the longest hold time. */
   readonly hasLongGrants: boolean
+  /** Era of the store in which the record was written; an older copy of the store has records of earlier eras. */
+  readonly era: number
 }
 
 export interface LeaseTimes {
@@ -84,7 +86,8 @@
       known?.leader === record.leader &&
       known.term === record.term &&
       known.renewal === record.renewal &&
-      known.released === record.released
+      known.released === record.released &&
+      known.era === record.era
     )
       return
     this.#record = record
--- a/packages/assignment/src/range-map.ts
+++ b/packages/assignment/src/range-map.ts
@@ -75,6 +75,7 @@
     readonly startedAtEpochMs: number | undefined
     readonly weight: number
   }[],
+  fence = 1,
 ): Assignment => {
   const total = targets.reduce((sum, { weight }) => sum + weight, 0)
   let weightSoFar = 0
@@ -91,13 +92,13 @@
         to,
         owner: id,
         ownerStartedAtEpochMs: startedAtEpochMs,
-        fence: 1,
+        fence,
         formerOwner: undefined,
       })
       from = to + 1
     }
   })
-  return { service, lastFence: 1, addresses: {}, ranges }
+  return { service, lastFence: fence, addresses: {}, ranges }
 }
 
 /**
@@ -199,6 +200,8 @@
  */
 export interface AssignmentBlock extends Assignment {
   readonly block: number
+  /** Era of the store in which the block was written; an older copy of the store has blocks of earlier eras. */
+  readonly era: number
 }
 
 const pack = (ranges: readonly AssignedRange[]): PackedRange[] =>
@@ -215,19 +218,28 @@
   ranges.filter(({ from }) => blockOf(from) === block)
 
 /** Encodes one block as compact JSON, for its row in the store. */
-export const encodeBlock = (assignment: Assignment, block: number): string => {
+export const encodeBlock = (assignment: Assignment, block: number, era = 0): string => {
   const ranges = rangesOf(assignment, block)
   const { addresses } = withAddresses({ ...assignment, ranges }, () => undefined)
   const { service, lastFence } = assignment
-  return JSON.stringify({ service, block, lastFence, addresses, ranges: pack(ranges) })
+  return JSON.stringify({ service, block, era, lastFence, addresses, ranges: pack(ranges) })
 }
 
 /** Returns undefined when the text is not a block whose ranges cover each of its keys exactly once. */
 export const decodeBlock = (text: string): AssignmentBlock | undefined => {
   try {
-    const { service, block, lastFence, addresses, ranges } = JSON.parse(text) as {
+    const {
+      service,
+      block,
+      era = 0,
+      lastFence,
+      addresses,
+      ranges,
+    } = JSON.parse(text) as {
       service: string
       block: number
+      /** Absent in blocks of earlier versions of the router. */
+      era?: number
       lastFence: number
       addresses: Record<string, string>
       ranges: PackedRange[]
@@ -246,8 +258,12 @@
         ({ from, to }, index) => to >= from && from === (decoded[index - 1]?.to ?? first - 1) + 1,
       ) && decoded.at(-1)?.to === first + keysPerBlock - 1
     const isBlock = Number.isInteger(block) && block >= 0 && block < blockCount
-    return typeof service === 'string' && Number.isInteger(lastFence) && isBlock && isCovered
-      ? { service, block, lastFence, addresses, ranges: decoded }
+    return typeof service === 'string' &&
+      Number.isInteger(lastFence) &&
+      Number.isInteger(era) &&
+      isBlock &&
+      isCovered
+      ? { service, block, era, lastFence, addresses, ranges: decoded }
       : undefined
   } catch {
     return undefined
@@ -269,6 +285,16 @@
   }
 }
 
+/**
+ * Gives every range to its present owner under one new fence, above all that were used, and ends all moves. Only
+ * for an assignment of which changes may be lost, when nothing that was granted before can still last.
+ */
+export const refence = (assignment: Assignment): Assignment => {
+  const fence = assignment.lastFence + 1
+  const ranges = assignment.ranges.map((range) => ({ ...range, fence, formerOwner: undefined }))
+  return { ...assignment, lastFence: fence, ranges }
+}
+
 /**
  * Numbers of the blocks whose ranges differ between two assignments; all blocks when there is no `previous`
  * one.
--- a/packages/gateway/src/assignment-controller.ts
+++ b/packages/gateway/src/assignment-controller.ts
@@ -132,6 +132,8 @@
         tenure,
         workMs: () => workMs(service),
         remainingMs: () => leadership.remainingMs(tenure.term),
+        mayDecide: () => leadership.isOfPresentEra,
+        hasSeenReturn: () => leadership.hasSeenReturn,
         // Recorded because the next leader has to wait until the grants of the longest hold time have lapsed.
         beforeLongGrant: () => {
           leadership.recordLongGrants()
--- a/packages/gateway/src/change-log.ts
+++ b/packages/gateway/src/change-log.ts
@@ -2,7 +2,7 @@
  * The latest changes of one table, kept in memory so that other hosts can follow them without asking the
  * store.
  */
-import type { StoredRow, TableChanges } from '@pimentotally/storage'
+import { eraOf, type StoredRow, type TableChanges } from '@pimentotally/storage'
 import type { ReplicaChange } from './replica.js'
 
 type Change = TableChanges['rows'][number]
@@ -43,6 +43,12 @@
 
   record({ changed, removed, version }: ReplicaChange): void {
     this.#knownAfter ??= version
+    if (eraOf(version) > eraOf(this.#version)) {
+      // The changes from an earlier era to this one are not known one by one.
+      this.#knownAfter = version
+      this.#changes = []
+      this.#urgentVersion = version
+    }
     this.#version = version
     const relevant: Change[] = []
     let isUrgent = removed.length > 0
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -13,7 +13,7 @@
   storeTables,
   type HostSettings,
 } from '@pimentotally/platform'
-import type { RowStore } from '@pimentotally/storage'
+import { eraOf, type RowStore } from '@pimentotally/storage'
 import { CallerServer } from './caller-server.js'
 import { ChangeLog } from './change-log.js'
 import { CrashingRequests } from './crashing-requests.js'
@@ -91,6 +91,8 @@
   #draining = false
   /** Set when the stop no longer waits for requests in flight. */
   #stopped = false
+  /** Era of the store in which this host's row was last written; undefined while it is being written. */
+  #registeredEra: number | undefined
   /** Version of the configuration whose limits were last applied. */
   #limitsVersion: number | undefined
 
@@ -258,6 +260,9 @@
         storeTables.routerState,
         relayedTable(storeTables.routerState, routerStateLog, (change) => {
           directory.applyRouterState(change)
+          if (this.#registeredEra !== undefined && this.#registeredEra < directory.routerStateEra) {
+            void this.#registerHost()
+          }
           return []
         }),
       ],
@@ -356,8 +361,12 @@
     this.#callerServer.applyLimits(configuration.limits)
   }
 
-  /** Writes the row that makes this host known to the others, which divide budgets by the number of hosts. */
+  /**
+   * Writes the row that makes this host known to the others, which divide budgets by the number of hosts. An
+   * older copy of the store may lack it.
+   */
   async #registerHost(): Promise<void> {
+    this.#registeredEra = undefined
     const key = routerStateKeys.host(this.#settings.hostName)
     const { domain, capacity } = this.#settings
     const value = encodeHost({ peerAddress: this.#peerAddress, domain, capacity })
@@ -366,7 +375,10 @@
         conditions: [],
         writes: [{ table: storeTables.routerState, key, value }],
       })
-      if (written.isOk) return
+      if (written.isOk) {
+        this.#registeredEra = eraOf(written.value)
+        return
+      }
       this.#logger.warn('host.register_failed', { ...written.error })
       await this.#clock.sleep(700)
     }
@@ -395,6 +407,16 @@
         help: '1 while this host assigns keys',
         read: () => (this.#leadership.tenure === undefined ? 0 : 1),
       },
+      {
+        name: 'pimentotally_leader_known',
+        help: '0 while no host is known to lead, so that another one may take over',
+        read: () => (this.#leadership.hasCurrentLeader ? 1 : 0),
+      },
+      {
+        name: 'pimentotally_store_era',
+        help: 'Rises by one each time the store has come back from an older copy',
+        read: () => directory.routerStateEra,
+      },
       {
         name: 'pimentotally_malformed_rows_total',
         help: 'Rows of the store that could not be read',
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -17,7 +17,7 @@
 } from '@pimentotally/assignment'
 import { configurationKey, decodeConfiguration, decodeTarget, evacuatedDomain } from '@pimentotally/platform'
 import { RouteTable, TargetState, type Configuration, type Target } from '@pimentotally/routing'
-import type { StoredRow } from '@pimentotally/storage'
+import { absentIn, eraOf, originOf, type StoredRow } from '@pimentotally/storage'
 import type { ReplicaChange } from './replica.js'
 import { decodeHost, decodeLeader, routerStateKeys, type HostRecord } from './router-state-rows.js'
 
@@ -35,8 +35,10 @@
 export interface KnownAssignment {
   /** Undefined while this host lacks a block of it. */
   readonly assignment: Assignment | undefined
-  /** Versions of the blocks' rows; 0 for a missing one. */
+  /** Versions of the blocks' rows in the present era of the store, as conditions for the next write. */
   readonly versions: readonly number[]
+  /** Whether every block was written in the present era, so that none of their changes is lost. */
+  readonly isOfPresentEra: boolean
   /** Rises with each change that this host learns of. */
   readonly revision: number
 }
@@ -49,8 +51,18 @@
   readonly firstRead: number
 }
 
+/** The leader's record, and the version of the row that has it. */
+export interface KnownLeader {
+  readonly record: LeaderRecord
+  readonly version: number
+}
+
 interface StoredBlocks {
+  /** The newest content of each block; an older copy of the store may have an older one. */
   readonly blocks: (AssignmentBlock | undefined)[]
+  /** By block, the position at which its content was written, to tell which of two contents is newer. */
+  readonly origins: number[]
+  /** By block, the version of its row as it was last read. */
   readonly versions: number[]
   revision: number
   /** What `assignment` returned for these blocks; undefined after a change. */
@@ -101,7 +113,10 @@
   /** By service: the priorities of its routes in ascending order; the index of a priority is its rank. */
   readonly #ranks = new Map<string, number[]>()
   readonly #assignmentWaiters = new Set<() => void>()
-  #leader: { readonly record: LeaderRecord; readonly version: number } | undefined
+  #leader: KnownLeader | undefined
+  /** The row `leader` as it was last read, which an older copy of the store may have set back. */
+  #storedLeader: KnownLeader | undefined
+  #routerStateEra = 0
   #registryReadAtMs: number | undefined
   #registryReads = 0
   /** The store's version at the last read of the target registry. */
@@ -142,11 +157,22 @@
     return Math.max(1, this.#hostNames.length)
   }
 
-  /** The newest content of the row `leader` that this host knows, with its version. */
-  get leader(): { readonly record: LeaderRecord; readonly version: number } | undefined {
+  /** The newest content of the row `leader` that this host knows. */
+  get leader(): KnownLeader | undefined {
     return this.#leader
   }
 
+  /** The row `leader` as the store has it in its present era. */
+  get storedLeader(): KnownLeader | undefined {
+    const stored = this.#storedLeader
+    return stored !== undefined && eraOf(stored.version) === this.#routerStateEra ? stored : undefined
+  }
+
+  /** The latest era of the store that this host has read the router state in. */
+  get routerStateEra(): number {
+    return this.#routerStateEra
+  }
+
   get malformedRows(): number {
     return this.#malformedRows
   }
@@ -195,9 +221,11 @@
   assignment(service: string): KnownAssignment | undefined {
     const stored = this.#assignments.get(service)
     if (stored === undefined) return undefined
+    const era = this.#routerStateEra
     stored.joined ??= {
       assignment: joinBlocks(service, stored.blocks),
-      versions: [...stored.versions],
+      versions: stored.versions.map((version) => (eraOf(version) === era ? version : absentIn(era))),
+      isOfPresentEra: stored.blocks.every((block) => block?.era === era),
       revision: stored.revision,
     }
     return stored.joined
@@ -253,7 +281,8 @@
   applyTargetRegistry({ changed, removed, version }: ReplicaChange): string[] {
     const nowMs = this.#options.clock.monotonicMs()
     const gapMs = this.#registryReadAtMs === undefined ? 0 : nowMs - this.#registryReadAtMs
-    if (gapMs > outageGapMs && !this.#wasStoreAvailable(gapMs, version)) {
+    const isRestored = eraOf(version) > eraOf(this.#registryVersion) && this.#registryReadAtMs !== undefined
+    if (isRestored || (gapMs > outageGapMs && !this.#wasStoreAvailable(gapMs, version))) {
       this.#graceUntilMs = nowMs + reappearanceMs
     }
     this.#registryReadAtMs = nowMs
@@ -282,8 +311,9 @@
   }
 
   /** Applies changed rows of the router state. */
-  applyRouterState({ changed, removed }: ReplicaChange): void {
+  applyRouterState({ changed, removed, version }: ReplicaChange): void {
     this.#isRouterStateKnown = true
+    this.#observeEra(version)
     for (const row of changed) this.applyRouterStateRow(row)
     const leftHosts = new Set(removed.map((key) => routerStateKeys.hostOf(key)))
     this.#hostNames = this.#hostNames.filter((host) => !leftHosts.has(host))
@@ -291,12 +321,23 @@
   }
 
   applyRouterStateRow(row: StoredRow): void {
+    this.#observeEra(row.version)
     const host = routerStateKeys.hostOf(row.key)
     if (host !== undefined) this.#applyHost(host, row)
     if (row.key === routerStateKeys.leader) this.#applyLeader(row)
     if (routerStateKeys.isAssignment(row.key)) this.#applyBlock(row)
   }
 
+  #observeEra(version: number): void {
+    const era = eraOf(version)
+    if (era <= this.#routerStateEra) return
+    this.#routerStateEra = era
+    for (const stored of this.#assignments.values()) {
+      stored.revision += 1
+      stored.joined = undefined
+    }
+  }
+
   #applyHost(name: string, row: StoredRow): void {
     const record = decodeHost(row.value)
     if (record === undefined) this.#recordMalformed(row, 'host')
@@ -448,20 +489,23 @@
   }
 
   #applyLeader(row: StoredRow): void {
-    if (this.#leader !== undefined && this.#leader.version >= row.version) return
+    if (this.#storedLeader !== undefined && this.#storedLeader.version >= row.version) return
     const record = decodeLeader(row.value)
     if (record === undefined) {
       this.#recordMalformed(row, 'leader')
       return
     }
+    this.#storedLeader = { record, version: row.version }
+    if (this.#leader !== undefined && this.#leader.version >= originOf(record.era, row.version)) return
     if (this.#leader?.record.term !== record.term) {
       this.#options.logger.info('leader.changed', {
         leader: record.leader,
         term: record.term,
+        era: record.era,
         rowVersion: row.version,
       })
     }
-    this.#leader = { record, version: row.version }
+    this.#leader = { record, version: originOf(record.era, row.version) }
   }
 
   #applyBlock(row: StoredRow): void {
@@ -472,16 +516,20 @@
     }
     const stored = this.#assignments.get(block.service) ?? {
       blocks: Array.from({ length: blockCount }, () => undefined),
-      versions: Array.from({ length: blockCount }, () => 0),
+      origins: Array.from({ length: blockCount }, () => -1),
+      versions: Array.from({ length: blockCount }, () => -1),
       revision: 0,
       joined: undefined,
     }
     this.#assignments.set(block.service, stored)
-    if ((stored.versions[block.block] ?? 0) >= row.version) return
-    stored.blocks[block.block] = block
+    if ((stored.versions[block.block] ?? -1) >= row.version) return
     stored.versions[block.block] = row.version
     stored.revision += 1
     stored.joined = undefined
+    const origin = originOf(block.era, row.version)
+    if ((stored.origins[block.block] ?? -1) >= origin) return
+    stored.blocks[block.block] = block
+    stored.origins[block.block] = origin
     for (const waiter of [...this.#assignmentWaiters]) waiter()
   }
 
--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -2,6 +2,10 @@
  * Leader election. The leader is the one host that assigns keys to targets. It holds a lease, which is the
  * row `leader` in the store, and renews it by compare-and-set. Any host may take the lease over when the row
  * has not changed for the length of a lease and a margin, or when the row says that it was released.
+ *
+ * When the store comes back from an older copy, the row may name a former leader. A host whose lease has not
+ * ended goes on: it writes its record again, in the new era of the store. Any other host first waits until the
+ * lease of the last leader, which the copy may not name, has certainly ended.
  */
 import type { Clock, Logger } from '@pimentotally/core'
 import {
@@ -13,8 +17,8 @@
   type LeaseTimes,
 } from '@pimentotally/assignment'
 import { storeTables } from '@pimentotally/platform'
-import type { RowStore } from '@pimentotally/storage'
-import type { Directory } from './directory.js'
+import { absentIn, eraOf, type RowStore } from '@pimentotally/storage'
+import type { Directory, KnownLeader } from './directory.js'
 import { encodeLeader, routerStateKeys } from './router-state-rows.js'
 import { grantTimeoutMs } from './target-grants.js'
 
@@ -64,15 +68,20 @@
    */
   readonly predecessor: 'none' | 'released' | 'lapsed'
   readonly startedAtMs: number
+  /**
+   * By this time, all grants of earlier eras of the store have certainly lapsed, also those of decisions that
+   * an older copy lacks.
+   */
+  readonly earlierErasLapseAtMs: number
 }
 
 /**
- * Only a leader that gave its lease up and reports no grants of the longest hold time is known to have left
- * only grants of the normal one.
+ * Only a leader that gave its lease up in the present era and reports no grants of the longest hold time is
+ * known to have left only grants of the normal one.
  */
-const predecessorOf = (record: LeaderRecord | undefined): Tenure['predecessor'] => {
+const predecessorOf = (record: LeaderRecord | undefined, era: number): Tenure['predecessor'] => {
   if (record === undefined) return 'none'
-  return record.released && !record.hasLongGrants ? 'released' : 'lapsed'
+  return record.released && !record.hasLongGrants && record.era === era ? 'released' : 'lapsed'
 }
 
 export class Leadership {
@@ -93,6 +102,12 @@
   /** The check that is in progress, or the last one. */
   #lastCheck: Promise<void> | undefined
   #renewals = 0
+  /** Writes in a row that failed. */
+  #writeFailures = 0
+  /** The era of the store that this host last saw, and when it first saw it. */
+  #era: { readonly number: number; readonly seenAtMs: number } | undefined
+  /** Whether the store came back from an older copy while this process ran. */
+  #hasSeenReturn = false
 
   constructor(options: LeadershipOptions) {
     this.#options = options
@@ -114,7 +129,20 @@
    * lease that it last saw may not be taken over yet.
    */
   get hasCurrentLeader(): boolean {
-    return this.#lease !== undefined || this.#observed.waitMs(this.#options.clock.monotonicMs()) > 0
+    return this.#lease !== undefined || this.#takeoverWaitMs() > 0
+  }
+
+  /** Whether the store came back from an older copy while this process ran. */
+  get hasSeenReturn(): boolean {
+    return this.#hasSeenReturn
+  }
+
+  /**
+   * Whether this host's lease is written in the present era of the store. Until then, it only carries on with
+   * what it has decided: another host may get the lease of this era.
+   */
+  get isOfPresentEra(): boolean {
+    return eraOf(this.#rowVersion) === this.#options.directory.routerStateEra
   }
 
   /** Time for which this host may still send grants under the term; 0 when it does not lead in it. */
@@ -123,10 +151,9 @@
   }
 
   async run(): Promise<void> {
-    const { clock, directory } = this.#options
+    const { clock } = this.#options
     while (!this.#stopped) {
-      const seen = directory.leader
-      if (seen !== undefined) this.#observed.observe(seen.record, clock.monotonicMs())
+      this.#observe()
       this.#lastCheck = this.#lease === undefined ? this.#tryTakeover() : this.#keepLease()
       await this.#lastCheck
       await clock.sleep(checkIntervalMs)
@@ -158,15 +185,39 @@
     if (this.#lease !== undefined) await this.#release('stopping')
   }
 
-  async #tryTakeover(): Promise<void> {
-    const { clock, directory, processId, peerAddress, takeoverOffset, hasLargestCapacity } = this.#options
+  #observe(): void {
+    const { clock, directory } = this.#options
+    const { leader, routerStateEra, isRouterStateKnown } = directory
+    if (leader !== undefined) this.#observed.observe(leader.record, clock.monotonicMs())
+    if (!isRouterStateKnown || this.#era?.number === routerStateEra) return
+    this.#hasSeenReturn = this.#era !== undefined
+    this.#era = { number: routerStateEra, seenAtMs: clock.monotonicMs() }
+  }
+
+  /** Time until this host may take the lease over; 0 when it may now. */
+  #takeoverWaitMs(): number {
+    const { clock, directory } = this.#options
     const nowMs = clock.monotonicMs()
-    if (!directory.isRouterStateKnown || nowMs < this.#abstainUntilMs) return
-    if (this.#observed.waitMs(nowMs) > 0) return
+    const stored = directory.storedLeader
+    const isOfPresentEra =
+      stored === undefined ? !this.#hasSeenReturn : stored.record.era === directory.routerStateEra
+    // A record of an earlier era may have been followed by others, which are lost; also one that says that
+    // the lease was released.
+    const { leaseMs, marginMs } = leaseTimes
+    const eraWaitMs = isOfPresentEra ? 0 : (this.#era?.seenAtMs ?? nowMs) + leaseMs + marginMs - nowMs
+    return Math.max(0, eraWaitMs, this.#observed.waitMs(nowMs))
+  }
+
+  async #tryTakeover(): Promise<void> {
+    const { clock, directory, processId, peerAddress, takeoverOffset, hasLargestCapacity, maxHoldMs } =
+      this.#options
+    if (!directory.isRouterStateKnown || clock.monotonicMs() < this.#abstainUntilMs) return
+    if (this.#takeoverWaitMs() > 0) return
     const seen = directory.leader
+    const era = directory.routerStateEra
     const offsetMs = Math.floor(takeoverOffset * takeoverStepCount) * takeoverStepMs
     await clock.sleep(offsetMs + (hasLargestCapacity() ? 0 : smallHostDelayMs))
-    if (directory.leader !== seen || this.#stopped) return
+    if (directory.leader !== seen || directory.routerStateEra !== era || this.#stopped) return
     const record: LeaderRecord = {
       leader: processId,
       peerAddress,
@@ -174,26 +225,31 @@
       renewal: this.#nextRenewal(),
       released: false,
       hasLongGrants: false,
+      era,
     }
     const sentAt = this.#reading()
-    if (!(await this.#write(record, seen?.version ?? 0))) return
+    if (!(await this.#write(record, this.#storedVersion(era)))) return
     this.#lease = new HeldLease(leaseTimes, sentAt)
     this.#lastRenewalMs = sentAt.monotonicMs
-    const predecessor = predecessorOf(seen?.record)
+    const predecessor = predecessorOf(seen?.record, era)
     if (predecessor === 'lapsed') this.recordLongGrants()
+    // A leader of the earlier era may have sent grants until its lease ended.
+    const lastGrantEndedAtMs =
+      (this.#era?.seenAtMs ?? clock.monotonicMs()) + leaseTimes.leaseMs + grantTimeoutMs
     this.#tenure = {
       term: record.term,
       predecessor,
       startedAtMs: clock.monotonicMs(),
+      earlierErasLapseAtMs: latestLapseAtMs(lastGrantEndedAtMs, maxHoldMs),
     }
     this.#options.logger.info('leader.elected', { ...this.#tenure, rowVersion: this.#rowVersion })
   }
 
   async #keepLease(): Promise<void> {
-    const { clock, directory, processId } = this.#options
-    const seen = directory.leader
-    if (seen !== undefined && seen.version > this.#rowVersion && seen.record.leader !== processId) {
-      this.#endTenure('another host leads', seen.record.leader)
+    const { clock, directory } = this.#options
+    const successor = this.#successor(directory.storedLeader)
+    if (successor !== undefined) {
+      this.#endTenure('another host leads', successor)
       return
     }
     if (this.#remainingMs() <= 0) {
@@ -205,15 +261,13 @@
       return
     }
     const nowMs = clock.monotonicMs()
-    if (
-      this.#record === undefined ||
-      nowMs < this.#retryAtMs ||
-      nowMs - this.#lastRenewalMs < renewalIntervalMs
-    )
-      return
+    const isDue = !this.isOfPresentEra || nowMs - this.#lastRenewalMs >= renewalIntervalMs
+    if (this.#record === undefined || nowMs < this.#retryAtMs || !isDue) return
     const sentAt = this.#reading()
-    const record = { ...this.#record, renewal: this.#nextRenewal() }
-    if (await this.#write(record, this.#rowVersion)) {
+    const era = directory.routerStateEra
+    const record = { ...this.#record, renewal: this.#nextRenewal(), era }
+    const version = this.isOfPresentEra ? this.#rowVersion : this.#storedVersion(era)
+    if (await this.#write(record, version)) {
       const endedMs = -(this.#lease?.remainingMs(this.#reading()) ?? 0)
       if (endedMs > 0) this.#options.logger.info('leader.renewed_late', { term: record.term, endedMs })
       this.#lease?.recordRenewal(sentAt)
@@ -223,6 +277,21 @@
     }
   }
 
+  /** The version of the row `leader` in this era, as a condition for its next write. */
+  #storedVersion(era: number): number {
+    return this.#options.directory.storedLeader?.version ?? absentIn(era)
+  }
+
+  /**
+   * The host that has taken the lease from this one. In an older copy of the store, the row says nothing of
+   * the present era.
+   */
+  #successor(stored: KnownLeader | undefined): string | undefined {
+    if (stored === undefined || stored.version <= this.#rowVersion) return undefined
+    const isOlderCopy = !this.isOfPresentEra && stored.record.era !== this.#options.directory.routerStateEra
+    return stored.record.leader === this.#options.processId || isOlderCopy ? undefined : stored.record.leader
+  }
+
   async #release(reason: string): Promise<void> {
     const record = this.#record
     this.#endTenure(reason)
@@ -247,7 +316,7 @@
    * response was lost may have taken effect; not after `unavailable`, as then nothing was written.
    */
   async #write(record: LeaderRecord, version: number): Promise<boolean> {
-    const { store, directory, logger, processId, clock } = this.#options
+    const { store, directory, logger, processId } = this.#options
     const value = encodeLeader(record)
     const row = { table: storeTables.routerState, key: routerStateKeys.leader }
     const result = await store.commit(
@@ -255,21 +324,28 @@
       { timeoutMs: storeTimeoutMs },
     )
     if (result.isOk) {
+      this.#writeFailures = 0
       this.#rowVersion = result.value
       this.#record = record
       directory.applyRouterStateRow({ key: row.key, value, version: result.value })
       return true
     }
-    logger.warn('leader.write_failed', { term: record.term, renewal: record.renewal, ...result.error })
+    this.#writeFailures += 1
+    // While the store is away, a line for each attempt of each host would hide the others.
+    if (Number.isInteger(Math.log2(this.#writeFailures))) {
+      const { term, renewal, era } = record
+      const failures = this.#writeFailures
+      logger.warn('leader.write_failed', { term, renewal, era, failures, ...result.error })
+    }
     if (result.error.code === 'unavailable') return false
     const read = await store.snapshot(storeTables.routerState, { timeoutMs: storeTimeoutMs })
     const current = read.isOk ? read.value.rows.find(({ key }) => key === routerStateKeys.leader) : undefined
     if (current === undefined) return false
     directory.applyRouterStateRow(current)
-    const seen = directory.leader
+    const seen = directory.storedLeader
     if (seen === undefined) return false
-    this.#observed.observe(seen.record, clock.monotonicMs())
-    if (seen.record.leader !== processId) return false
+    this.#observe()
+    if (seen.record.leader !== processId || seen.record.era !== directory.routerStateEra) return false
     const isWritten = seen.record.renewal === record.renewal
     // Another attempt of this host wrote the row. A host that holds the lease makes its next renewal
     // conditional on that version; one that does not hold it may not take that attempt for its takeover.
--- a/packages/gateway/src/ownership-faults.test.ts
+++ b/packages/gateway/src/ownership-faults.test.ts
@@ -163,6 +163,31 @@
   )
 })
 
+/** The store comes back from older copies, beside other faults; in half of the runs all hosts restart later. */
+const returns: fc.Arbitrary<readonly Fault[]> = fc
+  .tuple(
+    fc.array(
+      fc.record({
+        kind: fc.constant<FaultKind>('storeRestored'),
+        atMs: fc.integer({ min: 0, max: 6000 }),
+        forMs: fc.integer({ min: 500, max: 9000 }),
+        index: fc.nat(5),
+      }),
+      { minLength: 1, maxLength: 2 },
+    ),
+    fc.array(dayFault, { minLength: 1, maxLength: 4 }),
+    fc.option(
+      fc.record({
+        kind: fc.constant<FaultKind>('restartHosts'),
+        atMs: fc.integer({ min: 500, max: 16_000 }),
+        forMs: fc.constant(0),
+        index: fc.constant(0),
+      }),
+      { freq: 1 },
+    ),
+  )
+  .map(([restored, others, restart]) => [...restored, ...others, ...(restart === null ? [] : [restart])])
+
 /**
  * One target is silent until about the end of its holds, and then responds slowly to grants, while the store
  * is slow.
@@ -184,6 +209,19 @@
   )
 })
 
+test('random returns of the store from an older copy: one owner for each key, and owners again after the faults', async () => {
+  await fc.assert(
+    fc.asyncProperty(fc.nat(1e6), returns, async (seed, faults) => {
+      await assertOwnedUnderFaults(seed, faults, maxEffectMs)
+    }),
+    {
+      seed: Number(process.env['FAULTS_SEED'] ?? 38),
+      numRuns: Number(process.env['FAULTS_RUNS'] ?? 60),
+      endOnFailure,
+    },
+  )
+})
+
 test('faults of whole days, with chains of leaders: one owner for each key, and owners again after the faults', async (context) => {
   let runs = 0
   let chains = 0
--- a/packages/gateway/src/peer-reports.test.ts
+++ b/packages/gateway/src/peer-reports.test.ts
@@ -31,6 +31,7 @@
     renewal: 1,
     released: false,
     hasLongGrants: false,
+    era: 0,
   }
   directory.applyRouterStateRow({ key: routerStateKeys.leader, version: 1, value: encodeLeader(record) })
   directory.applyOperatorTable({ changed: [configurationRow()], removed: [], version: 1 })
--- a/packages/gateway/src/replica.ts
+++ b/packages/gateway/src/replica.ts
@@ -1,10 +1,12 @@
 /**
  * A local copy of one table of the store. It reads the whole table once and then follows the feed of its
  * changes. When the changes since its version are no longer known, it reads the whole table again, so that
- * rows that were removed meanwhile are noticed.
+ * rows that were removed meanwhile are noticed. After the store came back from an older copy, rows that the
+ * copy lacks are kept for a time, as their writers write them again.
  */
 import type { Clock, Logger } from '@pimentotally/core'
 import {
+  eraOf,
   presentRows,
   type RowStore,
   type StoredRow,
@@ -36,6 +38,11 @@
 
 /** Time-out of a read of the whole table; a thousand routes take some time on the link of a small host. */
 const wholeTableTimeoutMs = 1600
+/**
+ * What the operator and the targets wrote is written again within this time after the store came back from
+ * an older copy.
+ */
+export const rewriteMs = 2500
 /** Pause after the first failed call; it doubles with each further failure. */
 const firstRetryPauseMs = 150
 /**
@@ -54,6 +61,8 @@
    * the table has to be read again.
    */
   #knownVersion = 0
+  /** Rows that an older copy of the store lacks, with the time until which they are kept. */
+  readonly #keptUntilMs = new Map<string, number>()
   #confirmedAtMs: number | undefined
   #failures = 0
   #stopped = false
@@ -117,9 +126,13 @@
     }
     const current = new Map(rows.map((row) => [row.key, row]))
     const changed = rows.filter((row) => (this.#rows.get(row.key)?.version ?? 0) < row.version)
-    const removed = [...this.#rows.values()]
+    const absent = [...this.#rows.values()]
       .filter((row) => !current.has(row.key) && row.version <= version)
       .map(({ key }) => key)
+    if (this.#confirmedAtMs !== undefined && eraOf(version) > eraOf(this.#knownVersion)) {
+      this.#keepAbsent(absent, version)
+    }
+    const removed = [...absent.filter((key) => !this.#keptUntilMs.has(key)), ...this.#expired(current)]
     this.#apply(changed, removed)
     this.#advance(version)
     this.#succeeded(ageMs)
@@ -127,6 +140,25 @@
     return true
   }
 
+  #keepAbsent(absent: readonly string[], version: number): void {
+    const { clock, logger, table } = this.#options
+    for (const key of absent) this.#keptUntilMs.set(key, clock.monotonicMs() + rewriteMs)
+    logger.warn('replica.store_restored', {
+      table,
+      era: eraOf(version),
+      previousEra: eraOf(this.#knownVersion),
+      kept: absent.length,
+    })
+  }
+
+  /** Rows that were kept, and were not written again in time; `present` holds the keys of rows just read. */
+  #expired(present: { has: (key: string) => boolean }): string[] {
+    const nowMs = this.#options.clock.monotonicMs()
+    return [...this.#keptUntilMs]
+      .filter(([key, untilMs]) => untilMs <= nowMs && !present.has(key))
+      .map(([key]) => key)
+  }
+
   #advance(version: number): void {
     this.#version = version
     this.#knownVersion = Math.max(this.#knownVersion, version)
@@ -146,6 +178,10 @@
     if (read.value.isWhole === true) {
       return this.#replace({ ...read.value, rows: presentRows(read.value.rows) })
     }
+    if (eraOf(read.value.version) > eraOf(after)) {
+      this.#version = undefined
+      return this.#readWhole()
+    }
     const changed: StoredRow[] = []
     const removed: string[] = []
     for (const row of read.value.rows) {
@@ -154,6 +190,7 @@
       if ('deleted' in row) removed.push(row.key)
       else changed.push(row)
     }
+    removed.push(...this.#expired(new Set([...removed, ...changed.map(({ key }) => key)])))
     this.#apply(changed, removed)
     this.#advance(Math.max(after, read.value.version))
     this.#succeeded(read.value.ageMs)
@@ -162,8 +199,14 @@
   }
 
   #apply(changed: readonly StoredRow[], removed: readonly string[]): void {
-    for (const row of changed) this.#rows.set(row.key, row)
-    for (const key of removed) this.#rows.delete(key)
+    for (const row of changed) {
+      this.#rows.set(row.key, row)
+      this.#keptUntilMs.delete(row.key)
+    }
+    for (const key of removed) {
+      this.#rows.delete(key)
+      this.#keptUntilMs.delete(key)
+    }
   }
 
   /** `ageMs` is the age of a copy that another host passed on. */
--- a/packages/gateway/src/router-state-rows.ts
+++ b/packages/gateway/src/router-state-rows.ts
@@ -44,12 +44,17 @@
 /** Undefined when the bytes are not a leader's record. */
 export const decodeLeader = (bytes: Buffer): LeaderRecord | undefined => {
   try {
-    const record = JSON.parse(bytes.toString('utf8')) as LeaderRecord
+    // Records of earlier versions of the router have no era.
+    const { era = 0, ...rest } = JSON.parse(bytes.toString('utf8')) as Omit<LeaderRecord, 'era'> & {
+      era?: number
+    }
+    const record: LeaderRecord = { ...rest, era }
     const valid =
       typeof record.leader === 'string' &&
       typeof record.peerAddress === 'string' &&
       Number.isInteger(record.term) &&
       Number.isInteger(record.renewal) &&
+      Number.isInteger(record.era) &&
       typeof record.hasLongGrants === 'boolean'
     return valid ? record : undefined
   } catch {
--- a/packages/gateway/src/service-assignment-controller.ts
+++ b/packages/gateway/src/service-assignment-controller.ts
@@ -6,7 +6,6 @@
 import {
   admittedShares,
   balanceRanges,
-  blockCount,
   changedBlocks,
   completeMoves,
   encodeBlock,
@@ -17,6 +16,7 @@
   mergeRanges,
   placeHotKey,
   reassign,
+  refence,
   saturatedFactor,
   speedExponent,
   withAddresses,
@@ -29,7 +29,7 @@
   type TargetSpeeds,
 } from '@pimentotally/assignment'
 import { storeTables } from '@pimentotally/platform'
-import type { RowStore } from '@pimentotally/storage'
+import { absentIn, firstFenceOf, type RowStore } from '@pimentotally/storage'
 import type { KnownTarget } from './directory.js'
 import { FormerOwners } from './former-owners.js'
 import { routerStateKeys } from './router-state-rows.js'
@@ -81,6 +81,10 @@
   readonly requestLimit: (target: KnownTarget) => number | undefined
   /** Called when a decision was stored, so that other hosts learn of it. */
   readonly stored: () => void
+  /** Whether the lease is written in the present era of the store, so that decisions may be. */
+  readonly mayDecide: () => boolean
+  /** Whether the store came back from an older copy while this process ran. */
+  readonly hasSeenReturn: () => boolean
 }
 
 /** Share of the targets' capacity that is used; requests above a target's capacity do not count. */
@@ -112,9 +116,16 @@
   readonly #moves: RangeMoves
   #assignment: Assignment | undefined
   #shares: ReadonlyMap<string, number> = new Map()
-  /** Versions of the stored blocks that the assignment is made of. */
-  #versions: readonly number[] = Array.from({ length: blockCount }, () => 0)
+  /** Versions of the stored blocks that the assignment is made of; empty while none is stored. */
+  #versions: readonly number[] = []
   #revision = 0
+  /** Whether all blocks of the assignment were written in the present era of the store. */
+  #isOfPresentEra = false
+  /**
+   * Whether this controller knows every decision that was carried out. When the store has come back from an
+   * older copy, only the controller that made the decisions does, as long as its lease does not end.
+   */
+  #isComplete = false
   #isDeciding = false
   #balancedAtMs = 0
   /** For the first assignment: when a usable target was first seen, and when their number last changed. */
@@ -161,7 +172,13 @@
     const { directory, service } = this.#options
     if (!this.#grants.mayGrant) return
     this.#adoptStored()
+    if (this.#mayHaveLostDecisions()) return
     this.#formerOwners.recordAddresses(directory.targets(service))
+    if (this.#assignment !== undefined && !this.#isComplete) {
+      // Nothing is granted before the new fences are stored.
+      this.#decide()
+      return
+    }
     this.#moves.start(this.#assignment?.ranges ?? [])
     this.#grants.renew(this.#owned(), (range) => this.#stillOwns(range))
     this.#decide()
@@ -177,6 +194,19 @@
     this.#assignment = known.assignment
     this.#versions = known.versions
     this.#revision = known.revision
+    this.#isOfPresentEra = known.isOfPresentEra
+    this.#isComplete ||= known.isOfPresentEra
+  }
+
+  /**
+   * Whether owners may hold keys because of decisions that this controller does not know, as an older copy of
+   * the store lacks them. No key is granted to anybody until all grants of that time have lapsed.
+   */
+  #mayHaveLostDecisions(): boolean {
+    if (this.#isComplete) return false
+    if (this.#assignment === undefined && !this.#options.hasSeenReturn()) return false
+    const { clock, tenure } = this.#options
+    return clock.monotonicMs() < tenure.earlierErasLapseAtMs
   }
 
   /**
@@ -205,9 +235,17 @@
 
   /** Starts a decision, unless one is in progress. */
   #decide(): void {
-    if (this.#isDeciding || !this.#grants.mayGrant) return
+    const { mayDecide, directory } = this.#options
+    if (this.#isDeciding || !this.#grants.mayGrant || !mayDecide()) return
     this.#isDeciding = true
-    const decided = this.#assignment === undefined ? this.#initialise() : this.#change(this.#assignment)
+    const firstFence = firstFenceOf(directory.routerStateEra)
+    const decided =
+      this.#assignment === undefined
+        ? this.#initialise(firstFence)
+        : this.#change({
+            ...this.#assignment,
+            lastFence: Math.max(this.#assignment.lastFence, firstFence - 1),
+          })
     decided
       .catch((error: unknown) => {
         this.#options.logger.error('keys.decide_failed', { service: this.#options.service, error })
@@ -215,11 +253,11 @@
       .finally(() => {
         this.#isDeciding = false
         this.#adoptStored()
-        this.#moves.start(this.#assignment?.ranges ?? [])
+        if (this.#isComplete) this.#moves.start(this.#assignment?.ranges ?? [])
       })
   }
 
-  async #initialise(): Promise<void> {
+  async #initialise(firstFence: number): Promise<void> {
     const { directory, service, clock } = this.#options
     const targets = directory.targets(service).filter((target) => directory.isUsable(target))
     const nowMs = clock.monotonicMs()
@@ -232,18 +270,22 @@
     if (nowMs - changedAtMs < gatheringMs && nowMs - sinceMs < maxGatheringMs) return
     const sorted = [...targets].sort((a, b) => (a.id < b.id ? -1 : 1))
     const weighed = sorted.map(({ id, startedAtEpochMs, slots }) => ({ id, startedAtEpochMs, weight: slots }))
-    await this.#commit(initialAssignment(service, weighed), 'initial')
+    await this.#commit(initialAssignment(service, weighed, firstFence), 'initial')
   }
 
   async #change(assignment: Assignment): Promise<void> {
     const { service, logger } = this.#options
+    if (!this.#isComplete) {
+      await this.#commit(refence(assignment), 'store_restored')
+      return
+    }
     const { done } = this.#moves
     const current = completeMoves(assignment, done)
     const { changes, reason } = this.#chooseChanges(current)
-    if (changes.length === 0 && done.length === 0) return
+    if (changes.length === 0 && done.length === 0 && this.#isOfPresentEra) return
     if (changes.length > 0) {
       const keys = changes.reduce((sum, { from, to }) => sum + to - from + 1, 0)
-      const assignmentVersion = Math.max(...this.#versions)
+      const assignmentVersion = Math.max(0, ...this.#versions)
       logger.info('keys.moving', { service, reason, ranges: changes.length, keys, assignmentVersion })
     }
     if (await this.#commit(mergeRanges(reassign(current, changes)), reason)) this.#moves.forget(done)
@@ -350,11 +392,12 @@
   async #commit(decided: Assignment, reason: string): Promise<boolean> {
     const { store, directory, service, logger } = this.#options
     const next = withAddresses(decided, (id) => this.#formerOwners.addressOf(id))
-    const rows = changedBlocks(next, this.#assignment).map((block) => ({
+    const era = directory.routerStateEra
+    const rows = changedBlocks(next, this.#isOfPresentEra ? this.#assignment : undefined).map((block) => ({
       table: storeTables.routerState,
       key: routerStateKeys.assignment(service, block),
-      version: this.#versions[block] ?? 0,
-      value: Buffer.from(encodeBlock(next, block)),
+      version: this.#versions[block] ?? absentIn(era),
+      value: Buffer.from(encodeBlock(next, block, era)),
     }))
     const result = await store.commit(
       {
@@ -368,7 +411,7 @@
       this.#options.stored()
       return true
     }
-    const assignmentVersion = Math.max(...this.#versions)
+    const assignmentVersion = Math.max(0, ...this.#versions)
     logger.warn('keys.commit_failed', { service, reason, assignmentVersion, ...result.error })
     // A write that was not answered may have taken effect; the next decision builds on what is stored.
     if (result.error.code !== 'unavailable') await this.#readStored()
--- a/packages/gateway/src/target-grants.test.ts
+++ b/packages/gateway/src/target-grants.test.ts
@@ -70,7 +70,7 @@
     logger,
     directory,
     targetControl: calls,
-    tenure: { term: 1, predecessor: 'none', startedAtMs: 0 },
+    tenure: { term: 1, predecessor: 'none', startedAtMs: 0, earlierErasLapseAtMs: 0 },
     maxHoldMs,
     remainingMs: () => 2000,
     beforeLongGrant: () => undefined,
--- a/packages/gateway/src/testing-faults.ts
+++ b/packages/gateway/src/testing-faults.ts
@@ -42,6 +42,26 @@
   return () => (store.isDown = false)
 }
 
+/**
+ * The store is away for a moment at the end of the fault, and comes back from a copy of the fault's beginning.
+ */
+const storeRestored: StartFault = (simulation, index) => {
+  const copy = simulation.store.copy()
+  return () => {
+    simulation.store.isSilent = true
+    simulation.time.schedule(100 + (index % 5) * 600, () => {
+      simulation.store.isSilent = false
+      simulation.restoreStore(copy)
+    })
+  }
+}
+
+/** All host processes end and new ones start, which know only what the store has. */
+const restartHosts: StartFault = (simulation) => {
+  simulation.restartHosts()
+  return undefined
+}
+
 /** The store refuses the calls of the leader. */
 const leaderRefused: StartFault = (simulation) => {
   const leader = simulation.leader()
@@ -414,6 +434,8 @@
   pauseLeader,
   pauseHost,
   storeDown,
+  storeRestored,
+  restartHosts,
   leaderRefused,
   writesLost,
   ordersLate,
--- a/packages/gateway/src/testing-simulation.ts
+++ b/packages/gateway/src/testing-simulation.ts
@@ -21,7 +21,7 @@
   type TargetAddress,
 } from '@pimentotally/assignment'
 import { TargetState } from '@pimentotally/routing'
-import type { RowTransaction, StoredRow } from '@pimentotally/storage'
+import type { MemoryRowStoreCopy, RowTransaction, StoredRow } from '@pimentotally/storage'
 import { storeTables } from '@pimentotally/platform'
 import { configurationRow, targetRow } from '@pimentotally/platform/testing'
 import { Directory } from './directory.js'
@@ -398,6 +398,30 @@
     this.#configure()
   }
 
+  /**
+   * The store comes back from a copy, without what the hosts wrote since. The operator and the living targets
+   * write their rows again.
+   */
+  restoreStore(copy: MemoryRowStoreCopy): void {
+    this.store.restore(copy)
+    this.#lastTerm = 0
+    this.time.schedule(this.random.integer(1500), () => {
+      this.#configure()
+    })
+    for (const target of this.targets) {
+      this.time.schedule(this.random.integer(1500), () => {
+        if (target.isUp && !target.isSilent && !this.targetsCutFromStore.has(target)) this.#register(target)
+      })
+    }
+    // The entries of processes that have ended lapse.
+    this.time.schedule(entryLapseMs, () => {
+      for (const { key } of this.store.rows(storeTables.targetRegistry)) {
+        if (!this.targets.some(({ id, isUp }) => isUp && id === key))
+          this.store.remove(storeTables.targetRegistry, key)
+      }
+    })
+  }
+
   /** Whether the lease was taken three times within this time. */
   hasLeaderChain(withinMs: number): boolean {
     return this.leaseTakenAtMs.some((atMs, index) => {
--- a/packages/gateway/src/testing-store.ts
+++ b/packages/gateway/src/testing-store.ts
@@ -1,6 +1,7 @@
 /**
  * The store of the ownership tests, in virtual time, and each host's access to it. Faults make calls slow,
- * refuse them, lose their responses, delay the effect of writes by seconds, or let a host read old tables.
+ * refuse them, lose their responses, delay the effect of writes by seconds, let a host read old tables, or
+ * bring the store back from an older copy.
  */
 import { Result } from 'true-myth'
 import type { Random } from '@pimentotally/core'
@@ -8,6 +9,10 @@
 import {
   MemoryRowStore,
   RowStore,
+  eraOf,
+  packPosition,
+  versionOf,
+  type MemoryRowStoreCopy,
   type RowTransaction,
   type StoreCallOptions,
   type StoreError,
@@ -32,6 +37,8 @@
   workMs = 0
   /** Bound of a random time that is added to each call; each call then takes effect at a random moment. */
   jitterMs = 0
+  /** Rises each time the store comes back from an older copy. */
+  era = 0
 
   constructor(time: VirtualTime) {
     super()
@@ -41,6 +48,16 @@
   sleep(delayMs: number): Promise<void> {
     return new Promise((resolve) => this.#time.schedule(delayMs, resolve))
   }
+
+  override restore(copy: MemoryRowStoreCopy): void {
+    super.restore(copy)
+    this.era += 1
+  }
+
+  /** The position of a version in the present era. */
+  position(version: number): number {
+    return packPosition(this.era, version) ?? 0
+  }
 }
 
 export interface SimulatedStoreClientOptions {
@@ -67,6 +84,8 @@
   readonly #hidden = new Map<string, Set<string>>()
   /** Keys of hidden rows whose removal the feed has not delivered yet, by table. */
   readonly #undeliveredRemovals = new Map<string, Set<string>>()
+  /** The highest era that a response has named. */
+  #era = 0
 
   constructor(store: SimulatedStore, random: Random, options: SimulatedStoreClientOptions = {}) {
     super()
@@ -115,9 +134,13 @@
     if (this.#store.isSilent) await this.#store.sleep(timeoutMs)
     if (this.#isUnavailable()) return Result.err(unavailable('snapshot'))
     const hidden = this.#hidden.get(table)
-    const rows = this.#store.rows(table).filter(({ key }) => hidden?.has(key) !== true)
-    const { version } = this.#store
+    const rows = this.#store
+      .rows(table)
+      .filter(({ key }) => hidden?.has(key) !== true)
+      .map((row) => this.#withPosition(row))
+    const version = this.#store.position(this.#store.version)
     await this.#store.sleep(workMs - effectMs + networkMs)
+    if (!this.#observeEra(version)) return Result.err(unavailable('snapshot'))
     return Result.ok({ rows, version })
   }
 
@@ -127,13 +150,16 @@
       await this.#store.sleep(2 * networkMs + (waitedMs === 0 ? this.#drawWork().workMs : 0))
       if (this.#store.isSilent) await this.#store.sleep(waitMs + 800)
       if (this.#isUnavailable()) return Result.err(unavailable('changes'))
-      const rows = this.#visibleChanges(table, after)
+      const isOfPresentEra = eraOf(after) === this.#store.era
+      const rows = isOfPresentEra ? this.#visibleChanges(table, versionOf(after)) : undefined
       if (rows === undefined)
         return Result.err({ code: 'history_lost', step: 'changes', message: 'forgotten' })
-      const { version } = this.#store
+      const version = this.#store.position(this.#store.version)
+      const found = rows.map((row) => this.#withPosition(row))
       if (rows.length > 0 || waitedMs >= waitMs) {
         if (this.feedLagMs > 0) await this.#store.sleep(this.feedLagMs)
-        return Result.ok({ rows, version })
+        if (!this.#observeEra(version)) return Result.err(unavailable('changes'))
+        return Result.ok({ rows: found, version })
       }
       const stepMs = Math.max(1, Math.min(50, waitMs - waitedMs))
       await this.#store.sleep(stepMs)
@@ -155,9 +181,16 @@
   }
 
   async #commit(
-    transaction: RowTransaction,
+    { conditions, ...rest }: RowTransaction,
     { timeoutMs = 600 }: StoreCallOptions = {},
   ): Promise<StoreResult<number>> {
+    const era = Math.min(...conditions.map(({ version }) => eraOf(version)))
+    if (era < this.#era)
+      return Result.err({ code: 'conflict', step: 'commit', message: 'condition of an earlier era' })
+    const transaction = {
+      ...rest,
+      conditions: conditions.map(({ version, ...row }) => ({ ...row, version: versionOf(version) })),
+    }
     await this.#store.sleep(networkMs)
     if (this.#store.isSilent) return this.#noResponse(timeoutMs)
     if (this.#isUnavailable()) return Result.err(unavailable('commit'))
@@ -177,10 +210,24 @@
     }
     await this.#store.sleep(effectMs)
     const version = this.#store.commit(transaction)
+    const position = this.#store.position(version ?? 0)
     await this.#store.sleep(workMs - effectMs + networkMs)
-    return version === undefined
-      ? Result.err({ code: 'conflict', step: 'commit', message: 'the row has another version' })
-      : Result.ok(version)
+    const isLatest = this.#observeEra(position)
+    if (version === undefined)
+      return Result.err({ code: 'conflict', step: 'commit', message: 'the row has another version' })
+    return isLatest && (conditions.length === 0 || era === eraOf(position))
+      ? Result.ok(position)
+      : Result.err({ code: 'unknown', step: 'commit', message: 'the era changed' })
+  }
+
+  #withPosition<T extends { readonly version: number }>(row: T): T {
+    return { ...row, version: this.#store.position(row.version) }
+  }
+
+  /** Records the era of a response; false for a response of an era that has ended. */
+  #observeEra(position: number): boolean {
+    this.#era = Math.max(this.#era, eraOf(position))
+    return eraOf(position) === this.#era
   }
 
   #commitAfter(delayMs: number, transaction: RowTransaction): void {
--- a/packages/storage/src/memory-row-store.ts
+++ b/packages/storage/src/memory-row-store.ts
@@ -3,6 +3,13 @@
 
 type Change = TableChanges['rows'][number]
 
+/** The rows and the history of a store at one moment. */
+export interface MemoryRowStoreCopy {
+  readonly tables: ReadonlyMap<string, ReadonlyMap<string, StoredRow>>
+  readonly changes: ReadonlyMap<string, readonly Change[]>
+  readonly version: number
+}
+
 export class MemoryRowStore {
   readonly #tables = new Map<string, Map<string, StoredRow>>()
   readonly #changes = new Map<string, Change[]>()
@@ -46,6 +53,23 @@
     return holds ? this.#apply(writes, deletes) : undefined
   }
 
+  copy(): MemoryRowStoreCopy {
+    return {
+      tables: new Map([...this.#tables].map(([table, rows]) => [table, new Map(rows)])),
+      changes: new Map([...this.#changes].map(([table, changes]) => [table, [...changes]])),
+      version: this.#version,
+    }
+  }
+
+  /** Goes back to a copy; its versions go on from there, so that some are given out again. */
+  restore({ tables, changes, version }: MemoryRowStoreCopy): void {
+    this.#tables.clear()
+    for (const [table, rows] of tables) this.#tables.set(table, new Map(rows))
+    this.#changes.clear()
+    for (const [table, rows] of changes) this.#changes.set(table, [...rows])
+    this.#version = version
+  }
+
   discardHistory(): void {
     this.#discardedUpToVersion = this.#version
     this.#changes.clear()
--- a/packages/storage/src/row-store.ts
+++ b/packages/storage/src/row-store.ts
@@ -1,6 +1,7 @@
 /**
  * A store of tables with versioned rows, conditional transactions and a feed of the changes since a given
- * version. All versions come from one counter that rises with each transaction.
+ * version. All versions come from one counter that rises with each transaction, and are positions (see
+ * `store-position.ts`): they go on rising when the store comes back from an older copy.
  */
 import type { Result } from 'true-myth'
 
@@ -38,7 +39,7 @@
 export interface RowCondition {
   readonly table: string
   readonly key: string
-  /** 0 requires that the row is absent. */
+  /** `absentIn` of the present era requires that the row is absent. */
   readonly version: number
 }
 
@@ -59,7 +60,7 @@
   | { readonly code: 'unavailable'; readonly step: string; readonly message: string }
   /** The call was sent and no response came: a write may have taken effect, or may still do so. */
   | { readonly code: 'unknown'; readonly step: string; readonly message: string }
-  /** A condition did not hold; nothing was written. */
+  /** A condition did not hold, or is from an earlier era of the store; nothing was written. */
   | { readonly code: 'conflict'; readonly step: string; readonly message: string }
   /** The changes since the requested version are no longer known; the table must be read again as a whole. */
   | { readonly code: 'history_lost'; readonly step: string; readonly message: string }
--- a/scripts/check-defences.mjs
+++ b/scripts/check-defences.mjs
@@ -1,4 +1,5 @@
-// Mutation tests of the ownership protocol and of the limits that targets name: for each defence against two
+// Mutation tests of the ownership protocol, also over a store that comes back from an older copy, and of the limits
+// that targets name: for each defence against two
 // owners of a key, or against more requests than a limit allows, removes it in a copy of the built files under
 // target/ and runs the tests of its suite against that copy. Prints a table of the results. Fails when a change
 // does not apply, when tests fail on the unchanged copy, or when the random tests pass without a defence that
@@ -25,11 +26,13 @@
   directed: ['ownership', 'ownership-bounds', 'target-grants', 'directory'],
   random: ['ownership-faults'],
 }
+const restoreTests = { directed: ['restored-store'], random: ['ownership-faults'] }
 const limitTests = { directed: ['target-limits'], random: ['target-limit-faults'] }
 
 const gateway = (name) => `packages/gateway/dist/${name}.js`
 const assignment = (name) => `packages/assignment/dist/${name}.js`
 const requestLimit = 'packages/routing/dist/request-limit.js'
+const storePosition = 'packages/storage/dist/store-position.js'
 
 const anyIdCountsAsProof = [
   gateway('directory'),
@@ -150,6 +153,48 @@
   },
 ]
 
+const restoreDefences = [
+  { name: 'nothing, restored store', changes: [] },
+  {
+    name: 'positions do not say which era they belong to',
+    changes: [[storePosition, '? era * versionsPerEra + version', '? version']],
+  },
+  {
+    name: 'the content of an older copy replaces a newer one that is known',
+    changes: [[storePosition, 'Math.min(era, eraOf(position))', 'eraOf(position)']],
+  },
+  {
+    name: 'fences of a lost time are given out again',
+    changes: [[storePosition, 'era * fencesPerEra + 1', '1']],
+  },
+  {
+    name: 'keys are granted before the grants of a lost time have lapsed',
+    changes: [
+      [
+        gateway('service-assignment-controller'),
+        'return clock.monotonicMs() < tenure.earlierErasLapseAtMs;',
+        'return false;',
+      ],
+    ],
+  },
+  {
+    name: 'owners of an older copy get their keys under the fences of the copy',
+    changes: [
+      [
+        assignment('range-map'),
+        'const fence = assignment.lastFence + 1;\n    const ranges = assignment.ranges.map((range) => ({ ...range, fence,',
+        'const fence = assignment.lastFence + 1;\n    const ranges = assignment.ranges.map((range) => ({ ...range,',
+      ],
+    ],
+  },
+  {
+    name: 'a lease of an older copy may be taken over at once',
+    changes: [
+      [gateway('leadership'), 'const eraWaitMs = isOfPresentEra ? 0 :', 'const eraWaitMs = true ? 0 :'],
+    ],
+  },
+]
+
 const limitDefences = [
   { name: 'nothing, limits', changes: [] },
   {
@@ -208,6 +253,7 @@
 
 const defences = [
   ...ownershipDefences.map((row) => ({ ...row, tests: ownershipTests })),
+  ...restoreDefences.map((row) => ({ ...row, tests: restoreTests })),
   ...limitDefences.map((row) => ({ ...row, tests: limitTests })),
 ]
 
