Answer every request, also when its response cannot be forwarded

Cause: the request was ended, with its timeout, before the response was forwarded. Node's parser accepts a space in a field name and any three digits as the status; writeHead refuses both and throws, and the error ended in the handler of uncaughtException.

Ruled out: only to catch the error of writeHead, as a response that is not HTTP tells nothing of its request, which may be sent again if it is safe; only to check the head, as any other error in a step would have the same end.

Change: a head with a status outside 200 to 599, or a name or value that HTTP does not allow, is a lost response. Every step of a request runs under one guard that ends it with a response or a closed connection. The soak counts uncaught errors as violations.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -65,7 +65,15 @@
         connectionsCheckingInterval: 2000,
       },
       (request, response) => {
-        this.#handleRequest(request, response)
+        try {
+          this.#handleRequest(request, response)
+        } catch (error) {
+          options.logger.error('request.unexpected_error', {
+            requestId: readRequestId(request.headers),
+            error,
+          })
+          response.destroy()
+        }
       },
     )
     // No limit on the number of header fields; their size together is limited.
--- a/packages/gateway/src/proxied-request.ts
+++ b/packages/gateway/src/proxied-request.ts
@@ -138,7 +138,36 @@
     return this.#dispatcher.options
   }
 
-  async start(): Promise<void> {
+  /** Never rejects: whatever fails, the caller gets a response or a closed connection. */
+  start(): Promise<void> {
+    return this.#guard(() => this.#begin())
+  }
+
+  /** Runs a step of the request. A step that throws ends the request. */
+  async #guard(step: () => void | Promise<void>): Promise<void> {
+    try {
+      await step()
+    } catch (error) {
+      this.#handleUnexpected(error)
+    }
+  }
+
+  #handleUnexpected(error: unknown): void {
+    const { requestId, response } = this.#inbound
+    this.#options.logger.error('request.unexpected_error', { requestId, error })
+    if (!this.#finished) {
+      this.#cancelPending()
+      if (this.#sends > 0) this.#respondGenerated({ status: 502, code: 'unexpected_error' })
+      else
+        this.#respondGenerated({ status: 503, code: 'unexpected_error', retryAfterMs: defaultRetryAfterMs })
+    } else if (!response.headersSent) {
+      sendGeneratedResponse(response, { status: 502, code: 'unexpected_error', requestId })
+    } else if (!response.writableEnded) {
+      response.destroy()
+    }
+  }
+
+  async #begin(): Promise<void> {
     const { clock, countKey } = this.#options
     const { match, key, request } = this.#inbound
     // With several requests on one connection, only the response that is next in turn is told that the caller
@@ -156,7 +185,9 @@
     this.#dispatcher.retryBudgetOf(match.service.name).recordRequest(this.#nowMs())
     if (match.service.isSharded && key !== undefined) countKey(match.service.name, key)
     const onTimeout = (): void => {
-      this.#handleTimeout()
+      void this.#guard(() => {
+        this.#handleTimeout()
+      })
     }
     this.#cleanups.push(clock.schedule(Math.max(1, this.#leftMs() - responseMarginMs), onTimeout))
     await this.#send('first')
@@ -281,10 +312,12 @@
       closesAfterRefusal: !this.#isIdempotent && this.#isKeyed,
       mayStart: () => !this.#finished,
       settled: (result) => {
-        this.#pendingAttempts.delete(attempt)
-        attempt.runEnded()
-        this.#recordResult(attempt, result)
-        this.#handleResult(attempt, result)
+        void this.#guard(() => {
+          this.#pendingAttempts.delete(attempt)
+          attempt.runEnded()
+          this.#recordResult(attempt, result)
+          this.#handleResult(attempt, result)
+        })
       },
     })
     const runEnded = crashingRequests.isEmpty
@@ -381,7 +414,7 @@
       elapsedMs: this.#elapsedMs(),
       leftMs: this.#leftMs(),
     })
-    if (this.#mayRepeat()) void this.#send('retry')
+    if (this.#mayRepeat()) void this.#guard(() => this.#send('retry'))
     else this.#endWithoutTarget({ reason: cause, retryAfterMs: defaultRetryAfterMs })
   }
 
@@ -418,7 +451,7 @@
     const sendHedge = (): void => {
       const { occupied } = this.#isolation()
       const isAlone = this.#pendingAttempts.size === 1 && this.#tried.size === 1
-      if (isAlone && occupied === undefined && this.#mayRepeat()) void this.#send('hedge')
+      if (isAlone && occupied === undefined && this.#mayRepeat()) void this.#guard(() => this.#send('hedge'))
     }
     this.#cleanups.push(clock.schedule(delayMs, sendHedge))
   }
--- a/packages/gateway/src/target-exchange.ts
+++ b/packages/gateway/src/target-exchange.ts
@@ -2,7 +2,13 @@
  * Sends one request to a target on one connection, and receives a small response completely, or the header
  * and the first part of a large one. A request whose connection never got ready has certainly not run.
  */
-import { request as httpRequest, type ClientRequest, type IncomingMessage } from 'node:http'
+import {
+  request as httpRequest,
+  validateHeaderName,
+  validateHeaderValue,
+  type ClientRequest,
+  type IncomingMessage,
+} from 'node:http'
 import type { Socket } from 'node:net'
 import { splitAddress, type KeepAliveAgent } from '@pimentotally/http'
 import { platformHeaders, isMarkedNotExecuted } from '@pimentotally/platform'
@@ -95,6 +101,24 @@
   statusCode === 204 ||
   statusCode === 304
 
+/**
+ * Whether the status and the field names and values are those of an HTTP response. Node's parser accepts
+ * others, such as a name with a space, which cannot be written to the caller.
+ */
+const isWellFormed = ({ statusCode = 0, rawHeaders }: IncomingMessage): boolean => {
+  if (statusCode < 200 || statusCode > 599) return false
+  try {
+    for (let index = 0; index < rawHeaders.length; index += 2) {
+      const name = rawHeaders[index] ?? ''
+      validateHeaderName(name)
+      validateHeaderValue(name, rawHeaders[index + 1] ?? '')
+    }
+    return true
+  } catch {
+    return false
+  }
+}
+
 export class TargetExchange {
   readonly #options: ExchangeOptions
   readonly #request: ClientRequest
@@ -175,6 +199,11 @@
   }
 
   #receiveResponse(incoming: IncomingMessage): void {
+    if (!isWellFormed(incoming)) {
+      incoming.on('error', () => undefined)
+      this.#settleLost('malformed')
+      return
+    }
     const status = incoming.statusCode ?? 0
     const notExecuted = isMarkedNotExecuted(status, incoming.headers)
     // A response that does not repeat the request's id belongs to another request. One without any id is
--- a/packages/standins/src/gateway-soak.ts
+++ b/packages/standins/src/gateway-soak.ts
@@ -47,6 +47,8 @@
  * were delayed by the fault may still arrive.
  */
 const resumeGraceMs = 300
+/** Events of log lines that no fault may cause. */
+const unexpectedErrors = ['process.uncaught', 'process.unhandled_rejection', 'request.unexpected_error']
 /** No fault lasts longer than this, so a violation that occurs later has another cause. */
 const maxFaultMs = 2500
 /** When all faults have ended, all hosts must be ready and the sample keys held again within this time. */
@@ -249,6 +251,10 @@
     for (const [requestId, count] of runs) {
       if (count > 1) this.#violations.add(`${requestId} ran ${String(count)} times`)
     }
+    for (const { options, outputLines } of this.#cluster.hosts) {
+      const unexpected = outputLines.find((line) => unexpectedErrors.some((event) => line.includes(event)))
+      if (unexpected !== undefined) this.#violations.add(`${options.name}: ${unexpected}`)
+    }
     for (const { requestId, path, status, body } of this.#responses) {
       if (status === 200 && body !== `answer to ${requestId}`)
         this.#violations.add(`${requestId} got "${body}"`)
