Send nothing to a target that has said in a response that it leaves

Cause: nothing read the field; the state of a target came from the target registry alone.

Ruled out: to bind it to the address (the next process there may be another target) or to the id alone (the next life of the target is not leaving); to wait for `drain` before the host stops, as the target may end right after it; to keep it to the host that heard it, as it costs nothing to tell the others in the reports that are sent anyway.

Change: a process (id and start) that has said so counts as draining at that host from then on, which all that exists for draining targets follows: no new work, its keys move, requests are refused truly when no other target is left. Hosts tell each other in load reports, also while nobody leads.

--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -187,7 +187,12 @@
       store: this.#store,
       directory,
       leadership: this.#leadership,
-      targetControl: new TargetCalls(),
+      targetControl: new TargetCalls({
+        leaving: ({ id, address }) => {
+          const target = directory.target(id)
+          if (target?.address === address) directory.recordLeaving(id, target.startedAtEpochMs)
+        },
+      }),
       speeds,
       maxHoldMs: bounds.maxHoldMs,
       workMs: (service) => this.#dispatcher.serviceWorkMs(service),
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -18,6 +18,7 @@
 import { configurationKey, decodeConfiguration, decodeTarget, evacuatedDomain } from '@pimentotally/platform'
 import { RouteTable, TargetState, type Configuration, type Target } from '@pimentotally/routing'
 import { absentIn, eraOf, originOf, type StoredRow } from '@pimentotally/storage'
+import { LeavingTargets, type LeavingStatement } from './leaving-targets.js'
 import type { ReplicaChange } from './replica.js'
 import { decodeHost, decodeLeader, routerStateKeys, type HostRecord } from './router-state-rows.js'
 
@@ -102,6 +103,7 @@
     string,
     { readonly startedAtEpochMs: number; readonly sequence: number }
   >()
+  readonly #leaving = new LeavingTargets()
   readonly #byService = new Map<string, KnownTarget[]>()
   /** The processes that were seen at each address, in the order in which they were first seen. */
   readonly #processesByAddress = new Map<string, TargetProcess[]>()
@@ -190,6 +192,33 @@
     return target.state === TargetState.ready && !this.#evacuated.has(target.domain)
   }
 
+  /** Records that the process of the target has said in a response that it is leaving. */
+  recordLeaving(id: string, startedAtEpochMs: number | undefined): void {
+    if (!this.#leaving.add(id, startedAtEpochMs)) return
+    const target = this.#targets.get(id)
+    if (target === undefined || target.startedAtEpochMs !== startedAtEpochMs) return
+    const { service, address, domain, state } = target
+    this.#options.logger.info('target.leaving', { target: id, service, address, domain, state })
+    if (state === TargetState.draining) return
+    const stateSinceMs = this.#options.clock.monotonicMs()
+    this.#targets.set(id, { ...target, state: TargetState.draining, stateSinceMs })
+    this.#index()
+  }
+
+  /** The targets in the target registry that have said that they are leaving, to tell other hosts. */
+  leavingStatements(): readonly LeavingStatement[] {
+    return this.#leaving.statements().filter(({ target, startedAtEpochMs }) => {
+      const known = this.#targets.get(target)
+      return known !== undefined && (known.startedAtEpochMs ?? null) === startedAtEpochMs
+    })
+  }
+
+  /** Takes what other hosts have heard of targets. */
+  mergeLeaving(statements: readonly LeavingStatement[]): void {
+    for (const { target, startedAtEpochMs } of statements)
+      this.recordLeaving(target, startedAtEpochMs ?? undefined)
+  }
+
   isEvacuated(domain: string): boolean {
     return this.#evacuated.has(domain)
   }
@@ -398,7 +427,10 @@
   /** False for a late write of a heartbeat that is older than the latest known one of the same process. */
   #applyEntry(row: StoredRow, nowMs: number): boolean {
     const { logger } = this.#options
-    const target = decodeTarget(row.key, row.value)
+    const decoded = decodeTarget(row.key, row.value)
+    const hasSaidThatItLeaves =
+      decoded !== undefined && this.#leaving.has(decoded.id, decoded.startedAtEpochMs)
+    const target = hasSaidThatItLeaves ? { ...decoded, state: TargetState.draining } : decoded
     if (target === undefined) {
       this.#recordMalformed(row, 'target')
       this.#entryRemoved(row.key, nowMs)
--- a/packages/gateway/src/peer-reports.ts
+++ b/packages/gateway/src/peer-reports.ts
@@ -13,6 +13,7 @@
 import { MeanOccupancy } from '@pimentotally/routing'
 import { isCrashStatement, type CrashStatement, type CrashingRequests } from './crashing-requests.js'
 import type { Directory } from './directory.js'
+import { isLeavingStatement, type LeavingStatement } from './leaving-targets.js'
 import type { PeerResponse } from './peer-server.js'
 import { isLimitStatement, type LimitStatement, type TargetLimits } from './target-limits.js'
 
@@ -76,6 +77,8 @@
   readonly limits?: readonly LimitStatement[]
   /** Absent when no request is known to have crashed a target. */
   readonly crashes?: readonly CrashStatement[]
+  /** Absent when no target is known to have said that it is leaving. */
+  readonly leaving?: readonly LeavingStatement[]
 }
 
 interface Guidance {
@@ -90,8 +93,13 @@
   readonly limits?: readonly LimitStatement[]
   /** Absent when no request is known to have crashed a target. */
   readonly crashes?: readonly CrashStatement[]
+  /** Absent when no target is known to have said that it is leaving. */
+  readonly leaving?: readonly LeavingStatement[]
 }
 
+/** What hosts tell each other also while nobody leads. */
+type Notices = Pick<PeerReport, 'crashes' | 'leaving'>
+
 const isRecordOf = (value: unknown, isItem: (item: unknown) => boolean): boolean =>
   typeof value === 'object' && value !== null && !Array.isArray(value) && Object.values(value).every(isItem)
 
@@ -104,8 +112,11 @@
 const areCrashes = (value: unknown): value is readonly CrashStatement[] | undefined =>
   value === undefined || (Array.isArray(value) && value.every(isCrashStatement))
 
+const areLeaving = (value: unknown): value is readonly LeavingStatement[] | undefined =>
+  value === undefined || (Array.isArray(value) && value.every(isLeavingStatement))
+
 const isPeerReport = (value: unknown): value is PeerReport => {
-  const { keys, speeds, occupancy, speedsVersion, limits, crashes } = (value ?? {}) as Partial<
+  const { keys, speeds, occupancy, speedsVersion, limits, crashes, leaving } = (value ?? {}) as Partial<
     Record<string, unknown>
   >
   return (
@@ -114,12 +125,13 @@
     isRecordOf(occupancy, isPair) &&
     typeof speedsVersion === 'string' &&
     areLimits(limits) &&
-    areCrashes(crashes)
+    areCrashes(crashes) &&
+    areLeaving(leaving)
   )
 }
 
 const isGuidance = (value: unknown): value is Guidance => {
-  const { shares, occupancy, speedsVersion, speeds, limits, crashes } = (value ?? {}) as Partial<
+  const { shares, occupancy, speedsVersion, speeds, limits, crashes, leaving } = (value ?? {}) as Partial<
     Record<string, unknown>
   >
   return (
@@ -128,6 +140,7 @@
     typeof speedsVersion === 'string' &&
     areLimits(limits) &&
     areCrashes(crashes) &&
+    areLeaving(leaving) &&
     (speeds === undefined || isRecordOf(speeds, Number.isFinite))
   )
 }
@@ -245,7 +258,7 @@
         this.#acceptGuidance(sent.value.body.toString('utf8'))
       } else {
         this.#failures += 1
-        if (sent.isOk) this.#mergeCrashes(sent.value.body.toString('utf8'))
+        if (sent.isOk) this.#mergeNotices(sent.value.body.toString('utf8'))
         const cause = sent.isErr ? sent.error.message : `status ${String(sent.value.status)}`
         logger.debug('load.report_failed', { address, cause })
       }
@@ -266,25 +279,28 @@
     }
     this.#options.limits.merge(report.limits ?? [])
     this.#options.crashingRequests.merge(report.crashes ?? [])
+    this.#options.directory.mergeLeaving(report.leaving ?? [])
     if (this.#isLeader()) this.#addToTotals(report)
     else this.#addToNextReport(report)
-    const crashes = this.#crashes()
-    if (!this.hasCurrentGuidance()) return { status: 503, body: JSON.stringify(crashes) }
+    const notices = this.#notices()
+    if (!this.hasCurrentGuidance()) return { status: 503, body: JSON.stringify(notices) }
     const { speeds, ...guidance } = this.#guidance
-    const rest = { ...guidance, limits: this.#options.limits.statements(), ...crashes }
+    const rest = { ...guidance, limits: this.#options.limits.statements(), ...notices }
     const hasLatestSpeeds = report.speedsVersion === rest.speedsVersion
     return { status: 200, body: JSON.stringify(hasLatestSpeeds ? rest : { ...rest, speeds }) }
   }
 
-  #crashes(): { readonly crashes?: readonly CrashStatement[] } {
+  #notices(): Notices {
     const crashes = this.#options.crashingRequests.statements()
-    return crashes.length > 0 ? { crashes } : {}
+    const leaving = this.#options.directory.leavingStatements()
+    return { ...(crashes.length > 0 ? { crashes } : {}), ...(leaving.length > 0 ? { leaving } : {}) }
   }
 
-  /** Takes the crashes from a response without guidance; other hosts of earlier versions send no body. */
-  #mergeCrashes(text: string): void {
-    const { crashes } = (parse(text) ?? {}) as { readonly crashes?: unknown }
+  /** Takes the notices from a response without guidance; other hosts of earlier versions send no body. */
+  #mergeNotices(text: string): void {
+    const { crashes, leaving } = (parse(text) ?? {}) as Partial<Record<keyof Notices, unknown>>
     if (areCrashes(crashes)) this.#options.crashingRequests.merge(crashes ?? [])
+    if (areLeaving(leaving)) this.#options.directory.mergeLeaving(leaving ?? [])
   }
 
   #isLeader(): boolean {
@@ -305,7 +321,7 @@
       occupancy: Object.fromEntries(this.#occupancy),
       speedsVersion: this.#guidance.speedsVersion,
       limits: this.#options.limits.statements(),
-      ...this.#crashes(),
+      ...this.#notices(),
     }
     this.#counts.clear()
     this.#speeds.clear()
@@ -322,9 +338,10 @@
     }
     // If this host leads later, it goes on from these speeds.
     this.#options.speeds.setFactors(guidance.speeds ?? {})
-    const { limits = [], crashes = [], ...rest } = guidance
+    const { limits = [], crashes = [], leaving = [], ...rest } = guidance
     this.#options.limits.merge(limits)
     this.#options.crashingRequests.merge(crashes)
+    this.#options.directory.mergeLeaving(leaving)
     this.#setGuidance({ ...rest, speeds: guidance.speeds ?? this.#guidance.speeds ?? {} })
   }
 
--- a/packages/gateway/src/proxied-request.ts
+++ b/packages/gateway/src/proxied-request.ts
@@ -5,7 +5,7 @@
  * repeated, a target's response is not forwarded either if only its status would tell the caller so.
  */
 import { endToEndHeaders } from '@pimentotally/http'
-import { replacedTargetHeaders, isMisdirected, targetHeaders } from '@pimentotally/platform'
+import { replacedTargetHeaders, isLeaving, isMisdirected, targetHeaders } from '@pimentotally/platform'
 import {
   CrashVerdict,
   hedgeDelayMs,
@@ -375,6 +375,8 @@
       // Without keys, only another target at the same address responds so.
       if (!misdirected || service.isSharded)
         targets.limits.observe(target, { headers, sentAtMs, misdirected })
+      if (!misdirected && isLeaving(headers))
+        this.#options.directory.recordLeaving(target.id, target.startedAtEpochMs)
       targets.responded(target, service, headers, failed)
       if (failed) return
       const expectedMs = this.#dispatcher.routeWorkMs(route)
