Give up a call whose response has framing without end

Heads, bodies, trailers, chunk extensions and interim responses were bounded already on the request path and in the client of all other calls (grants, releases, probes, store, peers), and each call has one time limit. But a chunk size of zeros without end was read by that client as fast as it came until the time limit.

Change: the client counts all bytes of a response, and gives the call up beyond its limit for bodies and 1 MB. It is the one client that all calls outside the request path use.

Evidence: endless-bytes.test sends the seven forms in the response to a grant: "a chunk size" failed before (timed_out after 5 s instead of lost), the other six passed before and after.

--- a/packages/gateway/src/endless-bytes.test.ts
+++ b/packages/gateway/src/endless-bytes.test.ts
@@ -118,3 +118,14 @@
     assert.ok(target.written() < maxHeadBytes, String(target.written()))
   })
 }
+
+for (const [name, start, piece] of heads) {
+  test(`${name} without end in the response to a grant: the call is given up after a bounded number of bytes`, async (t) => {
+    const target = await startEndlessTarget(t, start, piece)
+    const call = { from: 0, to: 1, fence: 1, holdMs: 1000, handover: undefined, timeoutMs: 5000 }
+    const result = await new TargetCalls().grant({ id: 't', address: target.address }, call)
+    assert.equal(result.isErr && result.error.code, 'lost')
+    await target.closed
+    assert.ok(target.written() < maxHeadBytes, String(target.written()))
+  })
+}
--- a/packages/http/src/http-client.ts
+++ b/packages/http/src/http-client.ts
@@ -53,6 +53,12 @@
   return { host: address.slice(0, colon).replace(/^\[|\]$/g, ''), port: Number(address.slice(colon + 1)) }
 }
 
+/**
+ * Limit on the bytes of a response besides its body: far more than a head, chunk sizes and trailers take. Node's
+ * parser accepts any number of leading zeros in a chunk size.
+ */
+const maxFramingBytes = 1024 * 1024
+
 /** A call fails when it gets more interim (1xx) responses than this before the final one. */
 const maxInterimResponses = 16
 
@@ -141,6 +147,15 @@
       })
       outgoing.once('socket', (opened) => {
         socket = opened
+        const { bytesRead: bytesBefore } = opened
+        const maxBytes = this.#options.maxResponseBytes + maxFramingBytes
+        const checkBytes = (): void => {
+          if (opened.bytesRead - bytesBefore <= maxBytes) return
+          fail('lost', `more than ${String(maxBytes)} bytes`)
+          outgoing.destroy()
+        }
+        opened.on('data', checkBytes)
+        outgoing.once('close', () => opened.off('data', checkBytes))
         if (opened.connecting) opened.once('connect', () => (sent = true))
         else sent = true
       })
