Let a second signal wait for the stop in progress instead of cutting it

Cause: Daemon.stop returned at once while a stop was in progress, and main.ts takes its return for the end of the stop.

Ruled out: to ignore signals after the first in main.ts, as any other caller of stop would still be answered too early.

Change: stop returns the stop in progress and logs daemon.stop_repeated.

Evidence: daemon.test, 'a second signal during a stop does not cut the requests in flight', fails with a stop that returns at once, and passes.

--- a/packages/gateway/src/daemon.test.ts
+++ b/packages/gateway/src/daemon.test.ts
@@ -107,3 +107,18 @@
   await time.advance(2000)
   assert.equal(daemon.isReady, true)
 })
+
+test('a second signal during a stop does not cut the requests in flight', async (t) => {
+  const { time, daemon } = await startHost(t)
+  let ended = 0
+  const count = (): void => {
+    ended += 1
+  }
+  void daemon.stop('SIGTERM').then(count)
+  await time.advance(1000)
+  void daemon.stop('SIGTERM').then(count)
+  await time.advance(1000)
+  assert.equal(ended, 0, 'the stop is still in progress')
+  await time.advance(10_000)
+  assert.equal(ended, 2)
+})
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -89,6 +89,8 @@
   readonly #peerAddress: string
   /** Set when the stop begins. */
   #draining = false
+  /** The stop in progress, or the one that has ended. */
+  #stopping: Promise<void> | undefined
   /** Set when the stop no longer waits for requests in flight. */
   #stopped = false
   /** Era of the store in which this host's row was last written; undefined while it is being written. */
@@ -311,9 +313,17 @@
     await this.#loadMetrics()
   }
 
-  /** Stops the daemon; resolves when no request is in flight, or when the time for the stop is used up. */
-  async stop(reason: string): Promise<void> {
-    if (this.#draining) return
+  /**
+   * Stops the daemon; resolves when no request is in flight, or when the time for the stop is used up. Further
+   * calls, as for a second signal, wait for the stop in progress.
+   */
+  stop(reason: string): Promise<void> {
+    if (this.#stopping !== undefined) this.#logger.info('daemon.stop_repeated', { reason })
+    this.#stopping ??= this.#stop(reason)
+    return this.#stopping
+  }
+
+  async #stop(reason: string): Promise<void> {
     const startedMs = this.#clock.monotonicMs()
     this.#draining = true
     this.#logger.info('daemon.stopping', { reason, inFlight: this.#callerServer.inFlight })
