Say in the store client's test in which era a row is absent

I had run only the suites that I thought concerned before committing.

The test was written for the earlier contract, in which the condition 0 means that a row is absent in whatever era. Since a condition names its era (absentIn), because "absent" is as much a statement on one history as a version is: a first assignment sent before a return of the store would otherwise take effect after it.

--- a/packages/standins/src/gateway-process.test.ts
+++ b/packages/standins/src/gateway-process.test.ts
@@ -11,6 +11,7 @@
   type KeyTargetServer,
 } from '@pimentotally/platform/testing'
 import { RateCheck } from '@pimentotally/core/testing'
+import { absentIn, eraOf } from '@pimentotally/storage'
 import { GatewayCluster, type GatewayProcess } from './gateway-cluster.js'
 
 interface CallerResponse {
@@ -295,8 +296,9 @@
   const { version } = read.value
   const waiting = store.changes('t', version, 2000)
   const row = { table: 't', key: 'new' }
+  const isAbsent = { ...row, version: absentIn(eraOf(version)) }
   const committed = await store.commit({
-    conditions: [{ ...row, version: 0 }],
+    conditions: [isAbsent],
     writes: [{ ...row, value: Buffer.from('bytes') }],
   })
   assert.ok(committed.isOk)
@@ -306,7 +308,7 @@
     changes.value.rows.map((change) => ('deleted' in change ? '' : change.value.toString())),
     ['bytes'],
   )
-  const again = await store.commit({ conditions: [{ ...row, version: 0 }], writes: [] })
+  const again = await store.commit({ conditions: [isAbsent], writes: [] })
   assert.equal(again.isErr && again.error.code, 'conflict')
   server.fault = StoreFault.refuse
   const refused = await store.commit({ conditions: [], writes: [] })
