Take no response for that to a release unless it is proven to be its own

Targets that send a second copy of an answer, where the next one is expected, made the leader take the answer to a grant for that to a release.

Cause: calls to targets carried no id, and status 200 alone counted as the proof of a release.

Ruled out: a delay before a kept connection is used again, as the copy may come at any time; new connections for all calls, as a leader sends a grant for each range every 0.9 s.

--- a/packages/http/src/http-client.ts
+++ b/packages/http/src/http-client.ts
@@ -19,6 +19,8 @@
   readonly headers?: Readonly<Record<string, string>>
   readonly body?: string | Uint8Array | undefined
   readonly timeoutMs: number
+  /** Whether the call gets a connection of its own, on which no other response can arrive. */
+  readonly newConnection?: boolean
 }
 
 export interface HttpResponse {
@@ -115,7 +117,7 @@
     spec: HttpCallSpec,
   ): Promise<{ readonly result: Result<HttpResponse, HttpCallError>; readonly reused: boolean }> {
     return new Promise((resolve) => {
-      const { step, address, method, path, headers, body, timeoutMs } = spec
+      const { step, address, method, path, headers, body, timeoutMs, newConnection = false } = spec
       let sent = false
       let socket: Socket | undefined
       let settled = false
@@ -135,7 +137,7 @@
         this.dropIdle(address)
       }, timeoutMs)
       const outgoing = request({
-        agent: this.#agent(address),
+        agent: newConnection ? false : this.#agent(address),
         ...splitAddress(address),
         method,
         path,
