--- a/packages/gateway/src/leaving-targets.test.ts
+++ b/packages/gateway/src/leaving-targets.test.ts
@@ -117,8 +117,8 @@
 })
 
 test('the response to a grant, a release or a probe that says that the target leaves is not overlooked', async (t) => {
-  const server = createServer((_request, response) => {
-    response.writeHead(200, answerHeaders('', { leaving: true })).end()
+  const server = createServer((request, response) => {
+    response.writeHead(200, answerHeaders(requestIdOf(request), { leaving: true })).end()
   })
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
   t.after(() => {
