Check a connection at the moment when a waiting request gets it

What was seen: a request that waited for a connection ran on one that had been retired, and was told that it was new; an idle connection that had been closed a moment before was handed out, and its request got no response within 10 s. Cause: Node's agent hands a connection that becomes free to the next waiting request directly. keepSocketAlive and reuseSocket, where this class checks retirement, unread bytes and age, do not run then, and reusedSocket stays false. So an anonymous refusal on a used connection was believed, and the limit on idle time for requests that must not be repeated was passed by. And its list of idle connections keeps closed ones until their event. Ruled out: a limit on the queue alone would not help, as owners of keys have no check for a free connection before the choice. Change: the agent's limit and queue are this class's own. Each assignment goes through the pool and its checks, the age limit is an option of the request instead of a call before it, and closed connections leave the pool at once.

--- a/packages/gateway/src/proxied-request.ts
+++ b/packages/gateway/src/proxied-request.ts
@@ -304,9 +304,6 @@
     const { targets, crashingRequests } = this.#options
     const { request, requestId, match, body } = this.#inbound
     const agent = targets.agent(target, match.service)
-    // A request that must not be repeated is not written to a connection that the target may have closed, or
-    // on which bytes of another response may arrive.
-    if (!this.#isIdempotent) agent.dropIdleLongerThan(targets.isReuseUnsafe(target.id) ? 0 : maxUnsafeIdleMs)
     const sentAtMs = this.#nowMs()
     const exchange = new TargetExchange({
       agent,
@@ -319,6 +316,9 @@
       connectTimeoutMs: Math.min(connectTimeoutMs, Math.max(1, this.#leftMs())),
       delayAfterConnectMs: this.#isIdempotent ? 0 : unsafeConnectDelayMs,
       closesAfterRefusal: !this.#isIdempotent && this.#isKeyed,
+      // A request that must not be repeated is not written to a connection that the target may have closed, or
+      // on which bytes of another response may arrive.
+      ...(this.#isIdempotent ? {} : { maxIdleMs: targets.isReuseUnsafe(target.id) ? 0 : maxUnsafeIdleMs }),
       mayStart: () => !this.#finished,
       settled: (result) => {
         void this.#guard(() => {
--- a/packages/gateway/src/target-exchange.ts
+++ b/packages/gateway/src/target-exchange.ts
@@ -103,6 +103,8 @@
    * id, could not be told from a response to the next attempt.
    */
   readonly closesAfterRefusal?: boolean
+  /** Longest time for which a reused connection may have been idle; 0 for a new one only. */
+  readonly maxIdleMs?: number
   /** Called once, before anything is written on the ready connection: whether the request is still wanted. */
   readonly mayStart: () => boolean
   /** Called exactly once, unless the exchange is cancelled. */
@@ -156,6 +158,7 @@
       headers: headers as string[],
       setHost: false,
       exchangeId: options.requestId,
+      ...(options.maxIdleMs === undefined ? {} : { maxIdleMs: options.maxIdleMs }),
     }
     this.#request = httpRequest(requestOptions)
     this.#connectTimer = setTimeout(() => {
--- a/packages/http/src/keep-alive-agent.ts
+++ b/packages/http/src/keep-alive-agent.ts
@@ -1,8 +1,9 @@
 /**
- * Keep-alive connections to one address. Node's agent limits their number and reuses them. This class also
- * numbers them in the order of their creation, so that when one does not respond, the idle ones that are as
- * old or older can be closed too. It closes an idle connection on which bytes arrive, as no request is
- * waiting for them, and records what each connection has carried.
+ * Keep-alive connections to one address. This class limits their number and decides which one a request gets;
+ * Node's agent opens and keeps them. Node's own queue is not used: it hands a connection that becomes free to
+ * the next request without any check. A request gets no connection that was retired, or on which bytes arrived
+ * while it was idle. Connections are numbered in the order of their creation, so that when one does not respond,
+ * the idle ones that are as old or older can be closed too.
  */
 import { Agent, type AgentOptions, type ClientRequest, type RequestOptions } from 'node:http'
 import type { Socket } from 'node:net'
@@ -34,6 +35,16 @@
 export interface KeepAliveRequestOptions extends RequestOptions {
   /** Id that the response repeats. */
   readonly exchangeId?: string
+  /** Longest time for which a connection may have been idle that the request gets; 0 for a new one only. */
+  readonly maxIdleMs?: number
+}
+
+/** Bounds the memory for the ids that a connection has carried; the connection is closed afterwards. */
+const maxExchangesPerConnection = 1000
+
+interface WaitingRequest {
+  readonly request: ClientRequest
+  readonly options: KeepAliveRequestOptions
 }
 
 /** What the agent keeps about a connection; instants are on the monotonic clock. */
@@ -52,15 +63,29 @@
     this.idleMs = this.idleSinceMs === undefined ? undefined : performance.now() - this.idleSinceMs
     if (id !== undefined) this.exchangeIds.add(id)
   }
+
+  /** Whether the idle connection may carry the request. */
+  accepts({ maxIdleMs = Infinity }: KeepAliveRequestOptions): boolean {
+    return maxIdleMs > 0 && performance.now() - (this.idleSinceMs ?? 0) <= maxIdleMs
+  }
 }
 
 /** Node calls this method for each request of an agent; the type declarations lack it. */
 type AddRequest = (this: Agent, request: ClientRequest, options: KeepAliveRequestOptions) => void
 const { addRequest } = Agent.prototype as unknown as { readonly addRequest: AddRequest }
 
+/** Lets a destroyed request that has no connection report its end. */
+const end = (request: ClientRequest): void => {
+  request.onSocket(undefined as unknown as Socket)
+}
+
 export class KeepAliveAgent extends Agent {
   readonly #onIdleClosed: KeepAliveAgentOptions['onIdleClosed']
+  readonly #maxConnections: number
   readonly #connections = new WeakMap<Duplex, Connection>()
+  readonly #openSockets = new Set<Duplex>()
+  /** Requests without a connection, in the order of their arrival. */
+  readonly #waiting: WaitingRequest[] = []
   readonly #used = new WeakSet<Duplex>()
   #lastSerial = 0
   /** Connections with a serial up to and including this one are not reused. */
@@ -69,19 +94,31 @@
   constructor({ connections, idleTimeoutMs, onIdleClosed }: KeepAliveAgentOptions) {
     super({
       keepAlive: true,
-      maxSockets: connections,
+      maxSockets: Infinity,
       maxFreeSockets: connections,
       timeout: idleTimeoutMs,
       scheduling: 'lifo',
     } satisfies AgentOptions)
+    this.#maxConnections = connections
     this.#onIdleClosed = onIdleClosed
+    // Node's own listener comes first, so the connection is idle or closed by now.
+    this.on('free', () => {
+      this.#assignConnections()
+    })
   }
 
+  /** Called by Node for each request of the agent. */
   addRequest(request: ClientRequest, options: KeepAliveRequestOptions): void {
     request.prependOnceListener('socket', (socket) => {
       this.#connectionOf(socket).recordExchange(options.exchangeId)
     })
-    addRequest.call(this, request, options)
+    this.#waiting.push({ request, options })
+    this.#assignConnections()
+  }
+
+  override destroy(): void {
+    for (const { request } of this.#waiting.splice(0)) end(request.destroy())
+    super.destroy()
   }
 
   override createConnection(
@@ -89,13 +126,23 @@
   ): ReturnType<Agent['createConnection']> {
     const socket = super.createConnection(...args)
     this.#lastSerial += 1
-    if (socket) this.#connections.set(socket, new Connection(this.#lastSerial))
+    if (!socket) return socket
+    this.#connections.set(socket, new Connection(this.#lastSerial))
+    this.#openSockets.add(socket)
+    socket.once('close', () => {
+      this.#openSockets.delete(socket)
+      // Node's agent still has to take note of the end of the connection.
+      queueMicrotask(() => {
+        this.#assignConnections()
+      })
+    })
     return socket
   }
 
   override keepSocketAlive(socket: Duplex): boolean {
     const connection = this.#connectionOf(socket)
     if (connection.serial <= this.#retiredSerial || socket.readableLength > 0) return false
+    if (connection.exchanges >= maxExchangesPerConnection) return false
     // The type declarations say void, but the method returns whether the socket is kept.
     if (!(super.keepSocketAlive(socket) as unknown as boolean)) return false
     connection.closeOnData = (): void => {
@@ -136,22 +183,53 @@
     this.#dropRetired()
   }
 
-  /** Closes connections that have been idle for longer than `idleMs`. */
-  dropIdleLongerThan(idleMs: number): void {
-    const beforeMs = performance.now() - idleMs
-    for (const socket of Object.values(this.freeSockets).flat()) {
-      if (socket !== undefined && (this.#connectionOf(socket).idleSinceMs ?? 0) < beforeMs) socket.destroy()
+  /** Gives waiting requests connections, as long as there are any. */
+  #assignConnections(): void {
+    for (let next = this.#waiting[0]; next !== undefined; next = this.#waiting[0]) {
+      const { request, options } = next
+      if (request.destroyed) {
+        this.#waiting.shift()
+        end(request)
+        continue
+      }
+      this.#closeUnusable(options)
+      if (this.#idleSockets().length === 0 && this.#openCount() >= this.#maxConnections) return
+      this.#waiting.shift()
+      addRequest.call(this, request, options)
+    }
+  }
+
+  /** Closes the idle connections that the request must not get, and removes the closed ones from the pool. */
+  #closeUnusable(options: KeepAliveRequestOptions): void {
+    const sockets = this.#idleSockets()
+    for (let index = sockets.length - 1; index >= 0; index -= 1) {
+      const socket = sockets[index]
+      if (socket === undefined) continue
+      if (!this.#connectionOf(socket).accepts(options)) socket.destroy()
+      // Node's agent removes a closed connection only after its event, and would hand it out until then.
+      if (socket.destroyed) sockets.splice(index, 1)
     }
   }
 
+  /** Node's own list of idle connections; there is one, as all connections go to the same address. */
+  #idleSockets(): Socket[] {
+    for (const name in this.freeSockets) return this.freeSockets[name] ?? []
+    return []
+  }
+
+  #openCount(): number {
+    let count = 0
+    for (const { destroyed } of this.#openSockets) if (!destroyed) count += 1
+    return count
+  }
+
   #connectionOf(socket: Duplex): Connection {
     return this.#connections.get(socket) ?? new Connection(0)
   }
 
   /** Closes the idle connections that must not be reused. */
   #dropRetired(): void {
-    for (const socket of Object.values(this.freeSockets).flat()) {
-      if (socket === undefined) continue
+    for (const socket of this.#idleSockets()) {
       const connection = this.#connectionOf(socket)
       if (connection.serial > this.#retiredSerial) continue
       this.#onIdleClosed(IdleCloseReason.droppedIdle, connection)
