Let no connection carry the same request id twice

What callers saw: the copy of an earlier attempt's answer, for example 500 where the target had answered 200. Cause: a response is matched by the request's id, which names the caller's request and not the exchange. All attempts of one request share it, and a safe request for a key goes to the same owner again; when the third attempt gets the connection of the first, a late copy of the first answer passes as the third one. Class: a proof of identity that more than one exchange can present. Ruled out: closing the connection after each error, as was done after refusals of unsafe requests only: it leaves out callers that send an id again, and the answers that were not errors. That special case is gone. Change: the agent records the ids that each connection has carried and gives a request none that has carried its id; such an idle connection is closed. Within one connection the id then names one exchange, and across connections bytes cannot pass.

--- a/packages/gateway/src/proxied-request.ts
+++ b/packages/gateway/src/proxied-request.ts
@@ -315,7 +315,6 @@
       requestId,
       connectTimeoutMs: Math.min(connectTimeoutMs, Math.max(1, this.#leftMs())),
       delayAfterConnectMs: this.#isIdempotent ? 0 : unsafeConnectDelayMs,
-      closesAfterRefusal: !this.#isIdempotent && this.#isKeyed,
       // A request that must not be repeated is not written to a connection that the target may have closed, or
       // on which bytes of another response may arrive.
       ...(this.#isIdempotent ? {} : { maxIdleMs: targets.isReuseUnsafe(target.id) ? 0 : maxUnsafeIdleMs }),
--- a/packages/gateway/src/target-exchange.ts
+++ b/packages/gateway/src/target-exchange.ts
@@ -97,12 +97,6 @@
    * connection.
    */
   readonly delayAfterConnectMs?: number
-  /**
-   * Whether the connection is closed after a response that states that the request has not run. Needed where
-   * the same request may be sent to the target again: a second copy of that response, with the same request
-   * id, could not be told from a response to the next attempt.
-   */
-  readonly closesAfterRefusal?: boolean
   /** Longest time for which a reused connection may have been idle; 0 for a new one only. */
   readonly maxIdleMs?: number
   /** Called once, before anything is written on the ready connection: whether the request is still wanted. */
@@ -245,8 +239,7 @@
     const settleResponse = (complete: boolean): void => {
       // A target that responds before it has read the whole request may read the rest later, so the
       // connection must not be used for another request.
-      const mayRepeat = notExecuted && this.#options.closesAfterRefusal === true
-      if (complete && (!this.#request.writableFinished || mayRepeat)) this.#socket?.destroy()
+      if (complete && !this.#request.writableFinished) this.#socket?.destroy()
       const connection = socket && this.#options.agent.historyOf(socket)
       this.#settle({
         kind: 'response',
--- a/packages/http/src/keep-alive-agent.ts
+++ b/packages/http/src/keep-alive-agent.ts
@@ -1,9 +1,10 @@
 /**
  * Keep-alive connections to one address. This class limits their number and decides which one a request gets;
  * Node's agent opens and keeps them. Node's own queue is not used: it hands a connection that becomes free to
- * the next request without any check. A request gets no connection that was retired, or on which bytes arrived
- * while it was idle. Connections are numbered in the order of their creation, so that when one does not respond,
- * the idle ones that are as old or older can be closed too.
+ * the next request without any check. A request gets no connection that was retired, on which bytes arrived
+ * while it was idle, or that has carried the request's id before, as a late second copy of the earlier response
+ * could not be told from the response to this request. Connections are numbered in the order of their creation,
+ * so that when one does not respond, the idle ones that are as old or older can be closed too.
  */
 import { Agent, type AgentOptions, type ClientRequest, type RequestOptions } from 'node:http'
 import type { Socket } from 'node:net'
@@ -65,7 +66,8 @@
   }
 
   /** Whether the idle connection may carry the request. */
-  accepts({ maxIdleMs = Infinity }: KeepAliveRequestOptions): boolean {
+  accepts({ exchangeId, maxIdleMs = Infinity }: KeepAliveRequestOptions): boolean {
+    if (exchangeId !== undefined && this.exchangeIds.has(exchangeId)) return false
     return maxIdleMs > 0 && performance.now() - (this.idleSinceMs ?? 0) <= maxIdleMs
   }
 }
