Give up a response within whose body another one begins

What callers saw: 200 with the right id and signature, and a body that held a second response: the copy of its own, or of an earlier one of the connection. Cause: a body without a length takes every byte until its connection ends, and one with a length that is written in parts takes what is written between them. The id was checked in the head only. Class: bytes are attributed to an exchange by their position on the connection. Change: EmbeddedResponseScanner looks through each body, in whatever parts it arrives, for a response head that names an id which the connection has carried. A small response counts as crossed: a safe request is sent again, an unsafe one gets 502. A large one is broken off towards its caller before the first byte of the foreign head. A head that the end of the body cuts off counts too. Ruled out: refusing bodies without a length, or only on reused connections: their own copy comes on a new one as well. Not covered: a copy that names no id (an anonymous refusal), and one of which less than a status line fits into the body.

--- a/packages/gateway/src/caller-response.ts
+++ b/packages/gateway/src/caller-response.ts
@@ -23,14 +23,19 @@
    * without end.
    */
   readonly longestMs: number
-  /** Called when the target breaks the response off, or when the response has not ended after `longestMs`. */
-  readonly cut: (reason: 'broken_off' | 'too_long') => void
+  readonly cut: (reason: CutReason) => void
 }
 
+/**
+ * Why a response does not reach its caller completely: the target broke it off, another response began within its
+ * body, or it had not ended after `longestMs`.
+ */
+export type CutReason = 'broken_off' | 'crossed' | 'too_long'
+
 /** Forwards a large response while it arrives. */
 const streamResponse = (
   response: ServerResponse,
-  { status, incoming, body, endsCleanly }: TargetResponse,
+  { status, incoming, body, scanner, endsCleanly }: TargetResponse,
   { clock, longestMs, cut }: ForwardResponseOptions,
 ): void => {
   response.writeHead(status, endToEndHeaders(incoming, { dropContentLength: false }))
@@ -42,7 +47,7 @@
     cancel()
     return true
   }
-  const abort = (reason: 'broken_off' | 'too_long'): void => {
+  const abort = (reason: CutReason): void => {
     if (!endOnce()) return
     cut(reason)
     response.destroy()
@@ -54,13 +59,18 @@
     abort('broken_off')
   }
   incoming.on('data', (chunk: Buffer) => {
-    if (!response.write(chunk)) incoming.pause()
+    const checked = scanner.push(chunk)
+    if (checked === undefined) abort('crossed')
+    else if (!response.write(checked)) incoming.pause()
   })
   response.on('drain', () => incoming.resume())
   incoming.once('end', () => {
     incoming.off('close', onBrokenOff)
+    const rest = scanner.end()
     if (!incoming.complete) onBrokenOff()
+    else if (rest === undefined) abort('crossed')
     else {
+      if (rest.length > 0) response.write(rest)
       // Where the body ends with its connection, this tells a closed connection from a reset one.
       endsCleanly.then((isClean) => {
         if (!isClean) onBrokenOff()
--- a/packages/gateway/src/proxied-request.ts
+++ b/packages/gateway/src/proxied-request.ts
@@ -19,6 +19,7 @@
   forwardResponse,
   isNotRunStatus,
   sendGeneratedResponse,
+  type CutReason,
   type GeneratedResponse,
 } from './caller-response.js'
 import { CrashingRequests } from './crashing-requests.js'
@@ -504,15 +505,18 @@
   }
 
   #forward(targetId: string | undefined, result: TargetResponse): void {
-    const { clock, logger } = this.#options
-    const { requestId, callerDeadlineMs, arrivedAtMs, response } = this.#inbound
+    const { clock, logger, metrics, targets } = this.#options
+    const { requestId, match, callerDeadlineMs, arrivedAtMs, response } = this.#inbound
     const elapsedMs = this.#nowMs() - arrivedAtMs
     const longestMs =
       callerDeadlineMs === undefined
         ? longestStreamMs
         : Math.max(0, callerDeadlineMs - elapsedMs) + streamMarginMs
-    const cut = (reason: string): void => {
+    const cut = (reason: CutReason): void => {
       logger.warn('answer.cut', { requestId, target: targetId, reason, longestMs })
+      if (reason !== 'crossed') return
+      metrics.responseDiscarded(match.service.name, reason)
+      if (targetId !== undefined) targets.lost(targetId, reason)
     }
     forwardResponse(response, result, { clock, longestMs, cut })
   }
--- a/packages/gateway/src/target-exchange.ts
+++ b/packages/gateway/src/target-exchange.ts
@@ -17,6 +17,7 @@
   type KeepAliveRequestOptions,
 } from '@pimentotally/http'
 import { platformHeaders, isMarkedNotExecuted, readRequestId } from '@pimentotally/platform'
+import { EmbeddedResponseScanner } from './embedded-response.js'
 
 /**
  * Larger responses are forwarded while they arrive. Smaller ones are buffered, so that their request can
@@ -67,6 +68,8 @@
       /** The complete body, or the first part of a large one. */
       readonly body: readonly Buffer[]
       readonly complete: boolean
+      /** Checks the parts of the body that are still to come; those in `body` are checked. */
+      readonly scanner: EmbeddedResponseScanner
       /**
        * Whether the body ended properly; only meaningful once it has ended. For a body that ends with its
        * connection, it settles when the connection has closed, and is false after a reset. For a body whose
@@ -235,6 +238,8 @@
     const body: Buffer[] = []
     let bytes = 0
     const socket = this.#socket
+    const carriedIds = socket && this.#options.agent.historyOf(socket).exchangeIds
+    const scanner = new EmbeddedResponseScanner(carriedIds ?? new Set([this.#options.requestId]))
     const endsCleanly = isFramed(incoming) ? Promise.resolve(true) : this.#waitForCleanClose()
     const settleResponse = (complete: boolean): void => {
       // A target that responds before it has read the whole request may read the rest later, so the
@@ -247,6 +252,7 @@
         incoming,
         body,
         complete,
+        scanner,
         endsCleanly,
         notExecuted,
         connection,
@@ -267,7 +273,13 @@
     })
     incoming.once('end', () => socket?.off('data', checkFraming))
     const onData = (chunk: Buffer): void => {
-      body.push(chunk)
+      const checked = scanner.push(chunk)
+      if (checked === undefined) {
+        removeListeners()
+        this.#settleLost('crossed')
+        return
+      }
+      body.push(checked)
       bytes += chunk.length
       if (bytes <= maxBufferedBytes) return
       removeListeners()
@@ -276,7 +288,10 @@
     }
     const onEnd = (): void => {
       removeListeners()
+      const rest = scanner.end()
+      if (rest !== undefined) body.push(rest)
       if (!incoming.complete) this.#settleLost('truncated')
+      else if (rest === undefined) this.#settleLost('crossed')
       else if (isFramed(incoming)) settleResponse(true)
       else
         endsCleanly.then((clean) => {
