Pass no success on that its target has not signed

What callers saw: 200 without X-Response-Signature, or with a Content-Encoding although no caller asks for one, when a byte of the head is wrong. Change: such a response is 'unproven': a safe request is sent again, an unsafe one gets 502. Refusals and errors pass as before.

--- a/packages/gateway/src/target-exchange.ts
+++ b/packages/gateway/src/target-exchange.ts
@@ -16,7 +16,7 @@
   type KeepAliveAgent,
   type KeepAliveRequestOptions,
 } from '@pimentotally/http'
-import { platformHeaders, isMarkedNotExecuted, readRequestId } from '@pimentotally/platform'
+import { platformHeaders, isMarkedNotExecuted, isProvenSuccess, readRequestId } from '@pimentotally/platform'
 import { EmbeddedResponseScanner } from './embedded-response.js'
 
 /**
@@ -46,8 +46,11 @@
 } as const
 export type NotSentReason = (typeof NotSentReason)[keyof typeof NotSentReason]
 
-/** How an exchange failed without a complete response; `crossed`: the response belongs to another request. */
-export type LostReason = 'reset' | 'truncated' | 'crossed' | 'malformed'
+/**
+ * How an exchange failed without a complete response; `crossed`: the response belongs to another request, or another
+ * one began within its body; `unproven`: it is a success that nothing proves to be the target's.
+ */
+export type LostReason = 'reset' | 'truncated' | 'crossed' | 'malformed' | 'unproven'
 
 /** What is known of bytes that arrived where a response was expected and were not accepted as one. */
 export interface DiscardedBytes {
@@ -235,6 +238,11 @@
       this.#settleLost('crossed')
       return
     }
+    if (status < 300 && !isProvenSuccess(incoming.headers)) {
+      incoming.on('error', () => undefined)
+      this.#settleLost('unproven')
+      return
+    }
     const body: Buffer[] = []
     let bytes = 0
     const socket = this.#socket
@@ -343,7 +351,7 @@
   }
 
   #settleLost(reason: LostReason): void {
-    const isDiscarded = reason === 'crossed' || reason === 'malformed'
+    const isDiscarded = reason !== 'reset' && reason !== 'truncated'
     this.#settle({ kind: 'lost', reason, discarded: isDiscarded ? this.#describeDiscarded() : undefined })
     this.#request.destroy()
     this.#socket?.destroy()
