Tell where a body ends from its head alone

What callers saw: 200 with bytes in a transfer coding that was taken off the head, or a body without any end, passed on as whole; and 502 for HEAD when the target names no length. Cause: any Transfer-Encoding counted as framing, but only chunks have an end; Node's parser reads other codings until the connection closes. And an answer to HEAD has no body, yet without a length its end was awaited on a kept connection. Change: another coding than chunked makes a response malformed; an answer to HEAD is framed. Evidence: four tests of second-answers.test failed before and pass now.

--- a/packages/gateway/src/second-answers.test.ts
+++ b/packages/gateway/src/second-answers.test.ts
@@ -186,3 +186,23 @@
   const gateway = await TestGateway.start(t, [target])
   assert.equal((await gateway.call('/notes/1')).status, 404)
 })
+
+test('an answer to HEAD does not wait for the end of its connection', { timeout: timeoutMs }, async (t) => {
+  const target = await startRawTarget(t, 'a', (socket, id) => socket.write(`${rawHead(id, [])}\r\n`))
+  const gateway = await TestGateway.start(t, [target])
+  assert.equal((await gateway.call('/notes/1', { method: 'HEAD' })).status, 200)
+})
+
+for (const coding of ['identity', 'gzip', 'chunked, gzip']) {
+  test(
+    `a body in the coding ${coding}, which ends with its connection, reaches no caller as a success`,
+    { timeout: timeoutMs },
+    async (t) => {
+      const target = await startRawTarget(t, 'a', (socket, id) => {
+        socket.end(`${rawHead(id, [`Transfer-Encoding: ${coding}`])}\r\ncoded`)
+      })
+      const gateway = await TestGateway.start(t, [target])
+      assert.equal((await gateway.call('/notes/1')).status, 502)
+    },
+  )
+}
--- a/packages/gateway/src/target-exchange.ts
+++ b/packages/gateway/src/target-exchange.ts
@@ -112,18 +112,22 @@
 }
 
 /** Whether the header tells where the body ends; otherwise it ends with the connection. */
-const isFramed = ({ headers, statusCode }: IncomingMessage): boolean =>
+const isFramed = ({ headers, statusCode }: IncomingMessage, method: string): boolean =>
   headers['content-length'] !== undefined ||
   headers['transfer-encoding'] !== undefined ||
+  method === 'HEAD' ||
   statusCode === 204 ||
   statusCode === 304
 
 /**
- * Whether the status and the field names and values are those of an HTTP response. Node's parser accepts
- * others, such as a name with a space, which cannot be written to the caller.
+ * Whether the status and the field names and values are those of an HTTP response that can be forwarded. Node's
+ * parser accepts others, such as a name with a space, which cannot be written to the caller, and codings of the
+ * transfer other than chunks, whose end it takes for the end of the connection.
  */
-const isWellFormed = ({ statusCode = 0, rawHeaders }: IncomingMessage): boolean => {
+const isWellFormed = ({ statusCode = 0, headers, rawHeaders }: IncomingMessage): boolean => {
   if (statusCode < 200 || statusCode > 599) return false
+  const coding = headers['transfer-encoding']
+  if (coding !== undefined && coding.trim().toLowerCase() !== 'chunked') return false
   try {
     for (let index = 0; index < rawHeaders.length; index += 2) {
       const name = rawHeaders[index] ?? ''
@@ -248,7 +252,8 @@
     const socket = this.#socket
     const carriedIds = socket && this.#options.agent.historyOf(socket).exchangeIds
     const scanner = new EmbeddedResponseScanner(carriedIds ?? new Set([this.#options.requestId]))
-    const endsCleanly = isFramed(incoming) ? Promise.resolve(true) : this.#waitForCleanClose()
+    const hasFraming = isFramed(incoming, this.#options.method)
+    const endsCleanly = hasFraming ? Promise.resolve(true) : this.#waitForCleanClose()
     const settleResponse = (complete: boolean): void => {
       // A target that responds before it has read the whole request may read the rest later, so the
       // connection must not be used for another request.
@@ -300,7 +305,7 @@
       if (rest !== undefined) body.push(rest)
       if (!incoming.complete) this.#settleLost('truncated')
       else if (rest === undefined) this.#settleLost('crossed')
-      else if (isFramed(incoming)) settleResponse(true)
+      else if (hasFraming) settleResponse(true)
       else
         endsCleanly.then((clean) => {
           if (clean) settleResponse(true)
