Close a connection on which bytes arrive behind a response that waits for its caller

What happened: while a large response waits for a slow caller, its last bytes may have been parsed already. Nothing reads the connection then, and Node drops what arrives; the beginning of a second response was lost, the connection was reused, and the rest of that response arrived in the next exchange. Change: bytes behind a complete response close its connection; the response itself is delivered. Not covered: bytes in the same segment as the end of the response and less than a head; their rest is no response by its first byte and is discarded as malformed. Evidence: one test of second-answers.test waited in vain before (30 s) and passes now.

--- a/packages/gateway/src/second-answers.test.ts
+++ b/packages/gateway/src/second-answers.test.ts
@@ -6,9 +6,10 @@
 import assert from 'node:assert/strict'
 import type { Socket } from 'node:net'
 import { test } from 'node:test'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { answerHeaders } from '@pimentotally/platform/testing'
 import { maxBufferedBytes } from './target-exchange.js'
-import { TestGateway, rawHead, startRawTarget } from './testing-gateway.js'
+import { TestGateway, rawHead, startExchange, startRawTarget } from './testing-gateway.js'
 
 /** Bounds each test, so that a request that is never answered fails it. */
 const timeoutMs = 30_000
@@ -187,6 +188,24 @@
   assert.equal((await gateway.call('/notes/1')).status, 404)
 })
 
+test(
+  'a connection on which bytes arrive behind a response that waits for a slow caller is not reused',
+  { timeout: timeoutMs },
+  async (t) => {
+    const target = await startRawTarget(t, 'a', (socket, id) => {
+      socket.write(framed(id, large))
+      later(socket, workMs, framed(id, large).slice(0, 30))
+    })
+    const result = await startExchange(t, target.address)
+    assert.ok(result.kind === 'response' && !result.complete)
+    const { incoming, body } = result
+    while (!incoming.socket.destroyed) await sleep(1)
+    const chunks = [...body]
+    for await (const chunk of incoming) chunks.push(chunk as Buffer)
+    assert.equal(Buffer.concat(chunks).toString(), large)
+  },
+)
+
 test('an answer to HEAD does not wait for the end of its connection', { timeout: timeoutMs }, async (t) => {
   const target = await startRawTarget(t, 'a', (socket, id) => socket.write(`${rawHead(id, [])}\r\n`))
   const gateway = await TestGateway.start(t, [target])
--- a/packages/gateway/src/target-exchange.ts
+++ b/packages/gateway/src/target-exchange.ts
@@ -272,8 +272,13 @@
       })
     }
     let bytesReadAtBody = socket?.bytesRead ?? 0
-    // Counts the bytes since the last part of the body, or since the header.
+    let hasCompleted = false
+    // Counts the bytes since the last part of the body, or since the header. It is called after Node's parser.
     const checkFraming = (): void => {
+      // Nobody reads the bytes behind a response that waits for a slow caller; the rest of what they begin could
+      // arrive during the next exchange.
+      if (hasCompleted) socket?.destroy()
+      hasCompleted = incoming.complete
       if ((socket?.bytesRead ?? 0) - bytesReadAtBody <= maxFramingBytes) return
       socket?.off('data', checkFraming)
       // Once the result was given, the body is being forwarded, and only its rest can be cut off.
