--- a/packages/gateway/src/testing-gateway.ts
+++ b/packages/gateway/src/testing-gateway.ts
@@ -172,6 +172,13 @@
   readonly body?: string
 }
 
+export interface TestGatewayOptions {
+  readonly isSharded?: boolean
+  /** Connections that each target accepts from all hosts together. */
+  readonly maxConnections?: number
+  readonly logger?: Logger
+}
+
 export class TestGateway {
   readonly directory: Directory
   readonly #targets: TargetObservations
@@ -188,12 +195,16 @@
   static async start(
     t: TestContext,
     targets: readonly TestTarget[],
-    { isSharded = false, logger = new SilentLogger() }: { isSharded?: boolean; logger?: Logger } = {},
+    { isSharded = false, maxConnections, logger = new SilentLogger() }: TestGatewayOptions = {},
   ): Promise<TestGateway> {
     const clock = new SystemClock()
     const random = new Random(1)
     const directory = new Directory({ clock, logger })
-    directory.applyOperatorTable({ changed: [configurationRow({ isSharded })], removed: [], version: 1 })
+    directory.applyOperatorTable({
+      changed: [configurationRow({ isSharded, maxConnections })],
+      removed: [],
+      version: 1,
+    })
     directory.applyTargetRegistry({
       changed: targets.map(({ id, address }) => targetRow({ id, address })),
       removed: [],
--- a/scripts/check-defences.mjs
+++ b/scripts/check-defences.mjs
@@ -1,6 +1,6 @@
-// Mutation tests of the ownership protocol, also over a store that comes back from an older copy, and of the limits
-// that targets name: for each defence against two
-// owners of a key, or against more requests than a limit allows, removes it in a copy of the built files under
+// Mutation tests of the ownership protocol, also over a store that comes back from an older copy, of the limits that
+// targets name, and of the request path: for each defence against two owners of a key, against more requests than a
+// limit allows, or against answers that belong to another exchange, removes it in a copy of the built files under
 // target/ and runs the tests of its suite against that copy. Prints a table of the results. Fails when a change
 // does not apply, when tests fail on the unchanged copy, or when the random tests pass without a defence that
 // they reach and that has no second one behind it. Build first. Arguments narrow the run to rows whose name
@@ -29,6 +29,11 @@
 const restoreTests = { directed: ['restored-store'], random: ['ownership-faults'] }
 const limitTests = { directed: ['target-limits'], random: ['target-limit-faults'] }
 
+const responseTests = {
+  directed: ['second-answers', 'embedded-response', 'packages/http/dist/keep-alive-agent'],
+  random: ['second-answer-faults'],
+}
+
 const gateway = (name) => `packages/gateway/dist/${name}.js`
 const assignment = (name) => `packages/assignment/dist/${name}.js`
 const requestLimit = 'packages/routing/dist/request-limit.js'
@@ -251,10 +256,51 @@
   },
 ]
 
+const exchange = gateway('target-exchange')
+const pool = 'packages/http/dist/keep-alive-agent.js'
+
+const responseDefences = [
+  { name: 'nothing, second answers', changes: [] },
+  {
+    name: 'a response is accepted whatever id it repeats',
+    changes: [[exchange, 'echoed !== this.#options.requestId', 'false']],
+  },
+  {
+    name: 'a connection carries the same request id again',
+    changes: [[pool, 'if (exchangeId !== undefined && this.exchangeIds.has(exchangeId))', 'if (false)']],
+  },
+  {
+    name: 'a response within the body of another one is passed on',
+    changes: [[gateway('embedded-response'), "return { kind: 'response' };", 'return other;']],
+  },
+  {
+    name: 'a success without a signature is passed on',
+    changes: [[exchange, 'if (status < 300 && !isProvenSuccess(incoming.headers))', 'if (false)']],
+  },
+  {
+    name: 'a waiting request gets a connection that becomes free without a check',
+    isOutOfReach: true,
+    changes: [
+      [pool, 'maxSockets: Infinity', 'maxSockets: connections'],
+      [
+        pool,
+        'this.#waiting.push({ request, options });\n        this.#assignConnections();',
+        'addRequest.call(this, request, options);',
+      ],
+    ],
+  },
+  {
+    name: 'a connection is reused after bytes behind a response',
+    isOutOfReach: true,
+    changes: [[exchange, 'if (hasCompleted)', 'if (false)']],
+  },
+]
+
 const defences = [
   ...ownershipDefences.map((row) => ({ ...row, tests: ownershipTests })),
   ...restoreDefences.map((row) => ({ ...row, tests: restoreTests })),
   ...limitDefences.map((row) => ({ ...row, tests: limitTests })),
+  ...responseDefences.map((row) => ({ ...row, tests: responseTests })),
 ]
 
 const root = join('target', 'defences')
@@ -279,7 +325,9 @@
 /** Resolves to the names of the tests that failed and that passed, and a summary of the result. */
 const runTests = (dir, names) =>
   new Promise((resolve) => {
-    const files = names.map((name) => join(dir, gateway(`${name}.test`)))
+    const files = names.map((name) =>
+      join(dir, name.includes('/') ? `${name}.test.js` : gateway(`${name}.test`)),
+    )
     execFile(
       process.execPath,
       ['--test', '--test-reporter=tap', ...files],
