--- a/packages/gateway/src/testing-gateway.ts
+++ b/packages/gateway/src/testing-gateway.ts
@@ -182,14 +182,15 @@
 export class TestGateway {
   readonly directory: Directory
   readonly #targets: TargetObservations
-  readonly #port: number
+  /** The port for callers. */
+  readonly port: number
   #requestCount = 0
   #outgoing: ClientRequest | undefined
 
   private constructor(directory: Directory, targets: TargetObservations, port: number) {
     this.directory = directory
     this.#targets = targets
-    this.#port = port
+    this.port = port
   }
 
   static async start(
@@ -295,7 +296,7 @@
       const outgoing = httpRequest(
         {
           host: '127.0.0.1',
-          port: this.#port,
+          port: this.port,
           path,
           method,
           headers: {
