Keep the target's Content-Length in an answer to HEAD

Callers of HEAD saw Content-Length: 0 whatever the target had sent, since the length was set to that of the received body, and an answer to HEAD has none. An answer to HEAD now keeps the target's field, or has none. Evidence: the test on HEAD in caller-connections.test, which gave Content-Length: 0.

--- a/packages/gateway/src/caller-response.ts
+++ b/packages/gateway/src/caller-response.ts
@@ -9,9 +9,11 @@
 
 /** Forwards a response that has arrived completely. */
 const sendBuffered = (response: ServerResponse, { status, incoming, body }: TargetResponse): void => {
-  const headers = endToEndHeaders(incoming, { dropContentLength: true })
+  // The length in a response to HEAD is that of the body which GET would get.
+  const isHead = response.req.method === 'HEAD'
+  const headers = endToEndHeaders(incoming, { dropContentLength: !isHead })
   const buffer = Buffer.concat(body)
-  if (!isBodiless(status)) headers.push('Content-Length', String(buffer.length))
+  if (!isHead && !isBodiless(status)) headers.push('Content-Length', String(buffer.length))
   response.writeHead(status, headers).end(buffer)
 }
 
