Reset the connection of a caller that reads to its end when an answer is broken off

A caller with HTTP/1.0 takes no chunks: the end of the connection is the end of the body. Evidence: the first two tests of caller-connections.test saw 'closed' instead of 'reset'; the test on the stop waited in vain for an end. A reset is no end of a body. It is used only where the end would otherwise look complete, as it also discards what the caller has not read yet; with HTTP/1.1 the length or the last chunk is missing. Not covered: a process that is killed while it streams to such a caller; its connections are closed by the kernel.

--- a/packages/gateway/src/caller-response.ts
+++ b/packages/gateway/src/caller-response.ts
@@ -17,6 +17,16 @@
   response.writeHead(status, headers).end(buffer)
 }
 
+/**
+ * Ends a response whose rest will not follow. A caller that takes no chunks, as with HTTP/1.0, reads a body to the
+ * end of its connection, and would take a closed one for the end of the body; so its connection is reset.
+ */
+export const breakOffResponse = (response: ServerResponse): void => {
+  const readsToEnd = response.headersSent && response.req.httpVersion !== '1.1' && !response.chunkedEncoding
+  if (readsToEnd && response.socket !== null) response.socket.resetAndDestroy()
+  else response.destroy()
+}
+
 export interface ForwardResponseOptions {
   readonly clock: Clock
   /**
@@ -52,7 +62,7 @@
   const abort = (reason: CutReason): void => {
     if (!endOnce()) return
     cut(reason)
-    response.destroy()
+    breakOffResponse(response)
   }
   const cancel = clock.schedule(longestMs, () => {
     abort('too_long')
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -5,6 +5,7 @@
 import { listenOn, splitAddress } from '@pimentotally/http'
 import { generatedResponseHeaders, readDeadlineMs, readKey, readRequestId } from '@pimentotally/platform'
 import type { CallerLimits } from '@pimentotally/routing'
+import { breakOffResponse } from './caller-response.js'
 import type { Directory } from './directory.js'
 import type { Dispatcher } from './dispatcher.js'
 
@@ -72,7 +73,7 @@
             requestId: readRequestId(request.headers),
             error,
           })
-          response.destroy()
+          breakOffResponse(response)
         }
       },
     )
@@ -117,7 +118,8 @@
 
   /**
    * Accepts no more connections and dispatches no more requests, ends idle connections, and resolves when no
-   * request is in flight, or after `timeoutMs`. Returns the number of requests that are still in flight.
+   * request is in flight, or after `timeoutMs`. Returns the number of requests that are still in flight then; an
+   * answer that has begun is broken off, as the end of the process would make it look complete.
    */
   async closeWhenDrained(timeoutMs: number): Promise<number> {
     const { clock } = this.#options
@@ -128,7 +130,9 @@
     this.#closeIdle()
     const endsAtMs = clock.monotonicMs() + timeoutMs
     while (this.#openResponses.size > 0 && clock.monotonicMs() < endsAtMs) await clock.sleep(20)
-    return this.#openResponses.size
+    const cut = this.#openResponses.size
+    for (const response of this.#openResponses) if (response.headersSent) breakOffResponse(response)
+    return cut
   }
 
   #closeIdle(): void {
