Dispatch no request behind one without a host

Node answered an HTTP/1.1 request without Host itself, with 400 and Connection: close, and still handed on the requests behind it. These ran at targets, while their caller never got an answer, counted them as not read and could send them again. Cause: only answers that CallerServer closes itself were known to close the connection. It now gives this 400 too. Evidence: caller-connections.test, where the third request was dispatched.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -65,6 +65,8 @@
         noDelay: true,
         connectionsCheckingInterval: 2000,
       },
+        // Node would answer such a request itself, and dispatch those behind an answer that closes the connection.
+        requireHostHeader: false,
       (request, response) => {
         try {
           this.#handleRequest(request, response)
@@ -178,6 +180,11 @@
       return
     }
     const match = directory.routes.match(request.headers.host ?? '', request.url ?? '/')
+    if (request.headers.host === undefined && request.httpVersion === '1.1') {
+      this.#closeAfter(response)
+      this.#refuse(request, response, 400, 'no_host')
+      return
+    }
     if (match === undefined) {
       this.#refuse(request, response, 404, 'no_route')
       return
