Answer no connection that has sent nothing, and all requests that were read before malformed bytes

What callers saw: a connection that sent no byte for the header timeout got a 400, and a caller takes that for the answer to the request which it is about to send; it does not send a request again after a 400. A head that came too slowly got a 400 as well, though it certainly did not run. And malformed bytes, or a late head, behind requests that were read whole and are at targets cut off all their answers; with HTTP/1.0 a started answer ended as if it were complete. Cause: the handler knew a connection in use or not, but neither whether a request has begun nor which requests on it are whole. Now a connection that sent nothing is closed; a late head gets 408, which promises that it does not run; and the last whole request before the malformed bytes closes the connection with its answer, so nothing follows that one.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -50,6 +50,8 @@
    * response, and their callers may send them again as long as they were not read.
    */
   readonly #endingSockets = new WeakSet<Socket>()
+  /** Connections on which malformed bytes have arrived, or a head that was not complete in time. */
+  readonly #malformedSockets = new WeakSet<Socket>()
   #draining = false
   /** Set when the server no longer dispatches requests. */
   #closing = false
@@ -63,10 +65,10 @@
         requestTimeout: 0,
         keepAliveTimeout: defaultIdleTimeoutMs,
         noDelay: true,
-        connectionsCheckingInterval: 2000,
-      },
         // Node would answer such a request itself, and dispatch those behind an answer that closes the connection.
         requireHostHeader: false,
+        connectionsCheckingInterval: 2000,
+      },
       (request, response) => {
         try {
           this.#handleRequest(request, response)
@@ -155,8 +157,11 @@
   #responseClosed(response: ServerResponse): void {
     this.#openResponses.delete(response)
     const { socket } = response.req
+    const open = [...this.#openResponses].filter(({ req }) => req.socket === socket)
     // A header that was sent before the stop did not announce that the connection closes.
-    if (this.#closing && ![...this.#openResponses].some(({ req }) => req.socket === socket)) this.#end(socket)
+    if (this.#closing && open.length === 0) this.#end(socket)
+    // A request whose body is malformed stays open, and is not answered.
+    else if (this.#malformedSockets.has(socket) && !open.some((other) => isRead(other))) socket.destroySoon()
   }
 
   #handleRequest(request: IncomingMessage, response: ServerResponse): void {
@@ -175,16 +180,16 @@
     if (this.#draining || this.#options.shouldCloseConnections?.() === true) this.#closeAfter(response)
     const { directory } = this.#options
     const requestId = readRequestId(request.headers) ?? ''
-    if (directory.routes === undefined) {
-      this.#refuse(request, response, 503, 'not_ready')
-      return
-    }
-    const match = directory.routes.match(request.headers.host ?? '', request.url ?? '/')
     if (request.headers.host === undefined && request.httpVersion === '1.1') {
       this.#closeAfter(response)
       this.#refuse(request, response, 400, 'no_host')
       return
     }
+    if (directory.routes === undefined) {
+      this.#refuse(request, response, 503, 'not_ready')
+      return
+    }
+    const match = directory.routes.match(request.headers.host ?? '', request.url ?? '/')
     if (match === undefined) {
       this.#refuse(request, response, 404, 'no_route')
       return
@@ -259,16 +264,37 @@
     response.end(JSON.stringify({ code, outcome: 'not-run' }))
   }
 
+  /** Node calls this again for bytes that follow the malformed ones, and at each check of a late head. */
   #handleClientError(error: NodeJS.ErrnoException, socket: Socket): void {
-    const busy = [...this.#openResponses].some(({ req }) => req.socket === socket)
-    this.#options.logger.info('connection.malformed', { code: error.code, busy })
-    // On a busy connection, part of a response may have been written already, so no other can follow.
-    if (busy || error.code === 'ECONNRESET' || !socket.writable) {
+    const open = [...this.#openResponses].filter(({ req }) => req.socket === socket)
+    const isFirst = !this.#malformedSockets.has(socket)
+    this.#malformedSockets.add(socket)
+    if (isFirst)
+      this.#options.logger.info('connection.malformed', { code: error.code, busy: open.length > 0 })
+    const last = open.findLast((response) => isRead(response))
+    if (error.code === 'ECONNRESET' || !socket.writable || (open.length > 0 && last === undefined)) {
+      for (const response of open) breakOffResponse(response)
       socket.destroy()
-      return
+    } else if (last !== undefined) {
+      // Requests that were read before the malformed bytes are still answered, and no request behind these.
+      if (isFirst) this.#closeAfter(last)
+    } else if (this.#endingSockets.has(socket)) {
+      // An answer that closes the connection has been given, and no other follows it.
+      socket.destroySoon()
+    } else {
+      const status = statusOfClientError(error.code, socket)
+      if (status === undefined) socket.destroy()
+      else socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
     }
-    const status =
-      error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'
-    socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
   }
 }
+
+/** Whether the request of an open response has arrived completely, or was refused before it had. */
+const isRead = ({ req, writableEnded }: ServerResponse): boolean => req.complete || writableEnded
+
+/** Undefined when no request has begun: an answer would be taken for that to the first request. */
+const statusOfClientError = (code: string | undefined, { bytesRead }: Socket): string | undefined => {
+  if (code !== 'ERR_HTTP_REQUEST_TIMEOUT')
+    return code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'
+  return bytesRead === 0 ? undefined : '408 Request Timeout'
+}
