Take no truncated, early or unsent call of the HTTP client for another result

Three faults, each with a test in http-client.test that failed before: - A response without a length that was reset right behind its last byte was reported as a success with whatever had arrived (0, 3 and 70,000 bytes). Node reports an end for such a reset; as for the requests of callers, the remote port tells it from a close. - A response that came before the call was written completely kept its connection waiting for the rest, so that the next call got no connection and timed out. The connection is now closed; the peer may also read later. - A call that was sent, lost and then repeated on a new connection that could not be opened was reported as not_sent, though the first attempt had been sent. Only reads are repeated so far; the first result now counts. A response also tells whether its connection carried an earlier call, by the agent's own record: Node's reusedSocket is false for a call that waited for the connection. Tried without a fault: bytes on an idle connection, extra bytes in the segment of a response.

--- a/packages/http/src/http-client.ts
+++ b/packages/http/src/http-client.ts
@@ -7,6 +7,7 @@
 import { request, type IncomingHttpHeaders, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import { Result } from 'true-myth'
+import { waitForCleanClose } from './clean-close.js'
 import { KeepAliveAgent } from './keep-alive-agent.js'
 
 export interface HttpCallSpec {
@@ -27,6 +28,8 @@
   readonly status: number
   readonly headers: IncomingHttpHeaders
   readonly body: Buffer
+  /** Whether the connection carried another call before, so that the response may be a copy of an earlier one. */
+  readonly usedConnection: boolean
 }
 
 /**
@@ -90,7 +93,9 @@
     this.dropIdle(spec.address)
     const timeoutMs = spec.timeoutMs - (performance.now() - startedMs)
     if (timeoutMs < 1) return first.result
-    return (await this.#attempt({ ...spec, timeoutMs })).result
+    const { result } = await this.#attempt({ ...spec, timeoutMs })
+    // The first attempt was sent, so the call as a whole may have reached the peer.
+    return result.isErr && result.error.code === 'not_sent' ? first.result : result
   }
 
   /** Closes the idle connections to an address, so that the next call to it opens a new one. */
@@ -118,14 +123,16 @@
   ): Promise<{ readonly result: Result<HttpResponse, HttpCallError>; readonly reused: boolean }> {
     return new Promise((resolve) => {
       const { step, address, method, path, headers, body, timeoutMs, newConnection = false } = spec
+      const agent = newConnection ? undefined : this.#agent(address)
       let sent = false
+      let reused = false
       let socket: Socket | undefined
       let settled = false
       const settle = (result: Result<HttpResponse, HttpCallError>): void => {
         if (settled) return
         settled = true
         clearTimeout(timer)
-        resolve({ result, reused: outgoing.reusedSocket })
+        resolve({ result, reused })
       }
       const fail = (code: HttpCallError['code'], message: string, cause?: string): void => {
         settle(Result.err({ code: sent ? code : 'not_sent', step, peer: address, message, cause }))
@@ -137,7 +144,7 @@
         this.dropIdle(address)
       }, timeoutMs)
       const outgoing = request({
-        agent: newConnection ? false : this.#agent(address),
+        agent: agent ?? false,
         ...splitAddress(address),
         method,
         path,
@@ -149,6 +156,8 @@
       })
       outgoing.once('socket', (opened) => {
         socket = opened
+        // Node's `reusedSocket` is false for a call that waited for the connection.
+        reused = agent?.recordUse(opened) ?? false
         const { bytesRead: bytesBefore } = opened
         const maxBytes = this.#options.maxResponseBytes + maxFramingBytes
         const checkBytes = (): void => {
@@ -172,9 +181,12 @@
         outgoing.destroy()
       })
       outgoing.on('response', (incoming) => {
-        collect(incoming, this.#options.maxResponseBytes).then(
+        const { statusCode: status = 0, headers: fields } = incoming
+        collect(incoming, this.#options.maxResponseBytes, socket).then(
           (bytes) => {
-            settle(Result.ok({ status: incoming.statusCode ?? 0, headers: incoming.headers, body: bytes }))
+            // The peer may read the rest of the call later, and a connection that waits for that is of no use.
+            if (!outgoing.writableFinished) socket?.destroy()
+            settle(Result.ok({ status, headers: fields, body: bytes, usedConnection: reused }))
           },
           (error: unknown) => {
             fail('lost', error instanceof Error ? error.message : String(error))
@@ -187,8 +199,21 @@
   }
 }
 
+/** Whether the header tells where the body ends; otherwise it ends with the connection. */
+const isFramed = ({ headers, statusCode }: IncomingMessage): boolean =>
+  headers['content-length'] !== undefined ||
+  headers['transfer-encoding']?.toLowerCase() === 'chunked' ||
+  statusCode === 204 ||
+  statusCode === 304
+
 /** Reads the whole response body; rejects when it is incomplete or larger than `maxBytes`. */
-const collect = async (incoming: IncomingMessage, maxBytes: number): Promise<Buffer> => {
+const collect = async (
+  incoming: IncomingMessage,
+  maxBytes: number,
+  socket: Socket | undefined,
+): Promise<Buffer> => {
+  const isClosedCleanly =
+    socket === undefined || isFramed(incoming) ? Promise.resolve(true) : waitForCleanClose(socket)
   const chunks: Buffer[] = []
   let length = 0
   for await (const chunk of incoming) {
@@ -196,6 +221,7 @@
     length += (chunk as Buffer).length
     if (length > maxBytes) throw new Error(`response exceeds ${String(maxBytes)} bytes`)
   }
-  if (!incoming.complete) throw new Error('connection closed before the response was complete')
+  if (!incoming.complete || !(await isClosedCleanly))
+    throw new Error('connection closed before the response was complete')
   return Buffer.concat(chunks)
 }
