--- a/packages/gateway/src/caller-response.ts
+++ b/packages/gateway/src/caller-response.ts
@@ -1,7 +1,7 @@
 /** Sends responses to callers: a target's, buffered or streamed, or one that the router generates itself. */
 import type { ServerResponse } from 'node:http'
 import type { Clock } from '@pimentotally/core'
-import { endToEndHeaders } from '@pimentotally/http'
+import { breakOffResponse, endToEndHeaders } from '@pimentotally/http'
 import { generatedResponseHeaders } from '@pimentotally/platform'
 import type { TargetResponse } from './target-exchange.js'
 
@@ -17,16 +17,6 @@
   response.writeHead(status, headers).end(buffer)
 }
 
-/**
- * Ends a response whose rest will not follow. A caller that takes no chunks, as with HTTP/1.0, reads a body to the
- * end of its connection, and would take a closed one for the end of the body; so its connection is reset.
- */
-export const breakOffResponse = (response: ServerResponse): void => {
-  const readsToEnd = response.headersSent && response.req.httpVersion !== '1.1' && !response.chunkedEncoding
-  if (readsToEnd && response.socket !== null) response.socket.resetAndDestroy()
-  else response.destroy()
-}
-
 export interface ForwardResponseOptions {
   readonly clock: Clock
   /**
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -2,10 +2,9 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { Server as TcpServer, type Socket } from 'node:net'
 import type { Clock, Logger } from '@pimentotally/core'
-import { listenOn, splitAddress } from '@pimentotally/http'
+import { breakOffResponse, listenOn, splitAddress } from '@pimentotally/http'
 import { generatedResponseHeaders, readDeadlineMs, readKey, readRequestId } from '@pimentotally/platform'
 import type { CallerLimits } from '@pimentotally/routing'
-import { breakOffResponse } from './caller-response.js'
 import type { Directory } from './directory.js'
 import type { Dispatcher } from './dispatcher.js'
 
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -1,4 +1,5 @@
 /** HTTP connections, calls and header fields, shared by the other packages. */
+export * from './break-off.js'
 export * from './clean-close.js'
 export * from './headers.js'
 export * from './http-client.js'
