--- a/packages/proxy/src/http-listener.ts
+++ b/packages/proxy/src/http-listener.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
 import type { Clock } from '@pimentotally/core'
+import { breakOffResponse } from '@pimentotally/http'
 import { parseErrorResponse } from './framing.js'
 import { GeneratedResponse } from './generated-response.js'
 import type { ProxyLimits } from './proxy-limits.js'
@@ -87,7 +88,9 @@
     this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       // A request in progress on this connection may have run, and its response may be partly written.
       const busy = [...this.#openResponses.keys()].some(({ req }) => req.socket === socket)
-      if (busy || error.code === 'ECONNRESET' || !socket.writable) socket.destroy()
+      // An answer on a connection that sent no byte would be taken for that to its first request.
+      const hasNoRequest = error.code === 'ERR_HTTP_REQUEST_TIMEOUT' && (socket as Socket).bytesRead === 0
+      if (busy || hasNoRequest || error.code === 'ECONNRESET' || !socket.writable) socket.destroy()
       else socket.end(GeneratedResponse.rawBytes(parseErrorResponse(error.code)))
     })
   }
@@ -152,6 +155,7 @@
       ageMs: Math.round(nowMs - startedAtMs),
     }))
     stop.abort()
+    for (const response of this.#openResponses.keys()) breakOffResponse(response)
     if (cut.length > 0) for (const socket of this.#sockets) socket.destroy()
     else this.#server.closeIdleConnections()
     // Also closes connections on which a request head is incomplete; they hold no request.
--- a/packages/proxy/src/relay-response.ts
+++ b/packages/proxy/src/relay-response.ts
@@ -1,6 +1,7 @@
 /** Streams a response to the caller, with backpressure and with stall timeouts on both sides. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Cancel, Clock } from '@pimentotally/core'
+import { breakOffResponse } from '@pimentotally/http'
 import { scheduleStallTimeout } from './stall-timeout.js'
 
 export type RelayEnd = 'complete' | 'truncated' | 'targetStalled' | 'callerStalled' | 'callerGone'
@@ -26,7 +27,7 @@
 const limitFlushTime = (response: ServerResponse, clock: Clock, limitMs: number): void => {
   if (!response.writableNeedDrain) return
   const cancel = clock.schedule(limitMs, () => {
-    if (!response.writableFinished) response.destroy()
+    if (!response.writableFinished) breakOffResponse(response)
   })
   response.once('close', cancel)
 }
@@ -78,7 +79,7 @@
       if (end === 'complete' && !isCallerGone) {
         response.end()
         limitFlushTime(response, clock, callerStallTimeoutMs)
-      } else if (!isCallerGone) response.destroy()
+      } else if (!isCallerGone) breakOffResponse(response)
       resolve({
         end: isCallerGone && end !== 'complete' ? 'callerGone' : end,
         captured: end === 'complete' && captured !== undefined ? Buffer.concat(captured) : undefined,
