Give each cancel of the earlier daemon a connection on which nothing else is answered

Any 200 or 404 on the connection for cancels counted as the answer to the cancel in progress, although these answers repeat no id. A late second copy of one counted for the next request: its permit was released although the target had not confirmed its end, so it could get more requests than it may have. Evidence: the third test of second-answers.test got true for a cancel that the target had refused to confirm. Idle connections are now closed before a cancel, and its own after it; at most one is open at a time, as before.

--- a/packages/proxy/src/connection-pool.ts
+++ b/packages/proxy/src/connection-pool.ts
@@ -50,10 +50,14 @@
     return this.#entry(address, this.#options.limits.peerConnections)
   }
 
-  /** Tries once to cancel a request at its target; true when the target says that the request has ended. */
+  /**
+   * Tries once to cancel a request at its target; true when the target says that the request has ended. Answers to
+   * cancels repeat no id, so each cancel has a connection on which no other answer can arrive.
+   */
   cancel(address: string, requestId: string): Promise<boolean> {
     const entry = this.#entries.get(address)
     if (entry === undefined) return Promise.resolve(false)
+    entry.cancelAgent.dropIdle()
     return new Promise((resolve) => {
       const settle = (ended: boolean): void => {
         stopTimer()
@@ -71,6 +75,7 @@
         path: `/requests/${encodeURIComponent(requestId)}`,
         headers: { host: address },
       })
+      request.shouldKeepAlive = false
       request.on('response', (response) => {
         response.resume().on('error', () => undefined)
         settle(response.statusCode === 200 || response.statusCode === 404)
