Tell other hosts when a suspected request has run to its end

Cause: each told crash carried its own mark that it was cleared, and a host keeps 8 crashes of a request. Cleared ones are dropped first, so hosts that knew other crashes lost the mark and told each other the crashes anew. Now statements also carry the time since the last run to the end (an optional field: hosts of the earlier version ignore it), which clears all crashes at once. A told time is taken over only if it is more than 1 s later than the known one, as it lacks the time of the messages; without this, a run told to and fro did not age (the second new test fails then).

New check: no innocent request is refused, for whatever reason to do with crashes, for longer than `contact` (3 s) without a run to its end in between.

--- a/packages/gateway/src/crashing-request-faults.test.ts
+++ b/packages/gateway/src/crashing-request-faults.test.ts
@@ -8,14 +8,19 @@
 import { Random } from '@pimentotally/core'
 import { CrashWorld } from './testing-crashes.js'
 
-const seeds = 16
+const seeds = 24
 const rounds = 10
 const roundMs = 3000
 /** Reports that are lost for longer would leave the hosts without time to tell each other within the users' bound. */
 const reportLossMs = 1000
+/** The time after which hosts count as in touch with each other: an innocent request is refused for no longer. */
+const contactMs = 3000
+const skippedDraws = 10
 
 const runWithFaults = async (seed: number): Promise<CrashWorld> => {
   const random = new Random(seed)
+  // The first numbers hardly depend on a small seed: every world would have the same size.
+  for (let index = 0; index < skippedDraws; index += 1) random.float()
   const pick = <T>(values: readonly [T, ...T[]]): T => random.pick(values) ?? values[0]
   const world = new CrashWorld({
     seed,
@@ -48,6 +53,7 @@
       [],
     )
     assert.equal(world.innocent.blocked, 0)
+    assert.ok(world.innocent.longestRefusalMs <= contactMs, JSON.stringify(world.innocent))
     assert.ok(world.innocent.served > 0)
   })
 }
--- a/packages/gateway/src/crashing-requests.test.ts
+++ b/packages/gateway/src/crashing-requests.test.ts
@@ -5,7 +5,12 @@
 import { VirtualTime, type VirtualClock } from '@pimentotally/core/testing'
 import { targetRow } from '@pimentotally/platform/testing'
 import { CrashVerdict, blockingCrashes } from '@pimentotally/routing'
-import { CrashingRequests, ProcessState, type RequestContent } from './crashing-requests.js'
+import {
+  CrashingRequests,
+  ProcessState,
+  type CrashStatement,
+  type RequestContent,
+} from './crashing-requests.js'
 import { Directory } from './directory.js'
 import { TestGateway, startRawTarget, rawHead, type TestTarget } from './testing-gateway.js'
 
@@ -103,6 +108,48 @@
   assert.equal(a.crashes.verdict(names), CrashVerdict.unsuspected)
 })
 
+test('one message tells that a request has run to its end, however many crashed runs either host knows', () => {
+  const time = new VirtualTime()
+  const [a, b] = [startHost(time, 'a'), startHost(time, 'b')] as const
+  const crashesAt = (prefix: string): CrashStatement[] =>
+    Array.from({ length: 12 }, (_, index) => ({
+      request,
+      target: `${prefix}${String(index)}`,
+      startedAtEpochMs: 1000,
+      hostName: 'c',
+      sentAgeMs: 2000 - 100 * index,
+      endedAgeMs: 1950 - 100 * index,
+      cleared: false,
+    }))
+  a.crashes.merge(crashesAt('s'))
+  b.crashes.merge(crashesAt('t'))
+  assert.equal(a.crashes.verdict(names), CrashVerdict.blocked)
+  b.crashes.runCompleted(names)
+  tell(b, a)
+  assert.equal(a.crashes.verdict(names), CrashVerdict.unsuspected)
+})
+
+test('a run to the end that hosts tell to and fro clears later crashes for a limited time', async () => {
+  const time = new VirtualTime()
+  const [a, b] = [startHost(time, 'a'), startHost(time, 'b')] as const
+  await loseRun(time, a, 't0')
+  a.crashes.runCompleted(names)
+  for (let round = 0; round < 30; round += 1) {
+    const [told, answer] = [a.crashes.statements(), b.crashes.statements()]
+    await time.advance(200)
+    b.crashes.merge(told)
+    a.crashes.merge(answer)
+    await time.advance(150)
+  }
+  for (const id of ['t1', 't2', 't3']) {
+    await time.advance(500)
+    await loseRun(time, a, id)
+  }
+  tell(a, b)
+  assert.equal(a.crashes.verdict(names), CrashVerdict.blocked)
+  assert.equal(b.crashes.verdict(names), CrashVerdict.blocked)
+})
+
 test('a busy request that runs on all targets of a rack when it is lost is not refused', async () => {
   const time = new VirtualTime()
   const hosts = [startHost(time, 'a'), startHost(time, 'b')] as const
--- a/packages/gateway/src/crashing-requests.ts
+++ b/packages/gateway/src/crashing-requests.ts
@@ -21,6 +21,11 @@
 const confirmationMs = 3000
 /** A run to the end clears the request of crashes for this long. */
 const completionLifetimeMs = 10_000
+/**
+ * A run to the end that another host tells of replaces the one that is known only if it is later by more than this:
+ * its age lacks the time of the messages, and the same run told to and fro would be remembered without end.
+ */
+const toldCompletionSlackMs = 1000
 /** Most requests whose last run to the end is remembered. */
 const maxCompletions = 5000
 /** What is known of a request is forgotten this long after its last crash. */
@@ -74,11 +79,13 @@
   readonly endedAgeMs: number
   /** Whether the request has run to its end since. */
   readonly cleared: boolean
+  /** Since the request last ran to its end at any host; absent if that is not known. */
+  readonly completedAgeMs?: number
 }
 
 export const isCrashStatement = (value: unknown): value is CrashStatement => {
-  const { request, target, startedAtEpochMs, hostName, sentAgeMs, endedAgeMs, cleared } = (value ??
-    {}) as Partial<Record<string, unknown>>
+  const { request, target, startedAtEpochMs, hostName, sentAgeMs, endedAgeMs, cleared, completedAgeMs } =
+    (value ?? {}) as Partial<Record<string, unknown>>
   return (
     typeof request === 'string' &&
     typeof target === 'string' &&
@@ -88,7 +95,8 @@
     Number.isFinite(endedAgeMs) &&
     Number(endedAgeMs) >= 0 &&
     Number(sentAgeMs) >= Number(endedAgeMs) &&
-    typeof cleared === 'boolean'
+    typeof cleared === 'boolean' &&
+    (completedAgeMs === undefined || (Number.isFinite(completedAgeMs) && Number(completedAgeMs) >= 0))
   )
 }
 
@@ -291,22 +299,29 @@
 
   /** Records that the request has run to its end on a target. */
   runCompleted(names: readonly string[]): void {
-    for (const name of names) this.#complete(name)
+    const nowMs = this.#options.clock.monotonicMs()
+    for (const name of names) this.#complete(name, nowMs)
   }
 
-  #complete(request: string): void {
+  #complete(request: string, completedAtMs: number): void {
     this.#completedAtMs.delete(request)
-    this.#completedAtMs.set(request, this.#options.clock.monotonicMs())
+    this.#completedAtMs.set(request, completedAtMs)
     if (this.#completedAtMs.size > maxCompletions) {
       const [oldest] = this.#completedAtMs.keys()
       if (oldest !== undefined) this.#completedAtMs.delete(oldest)
     }
     const known = this.#known.get(request)
     if (known === undefined || known.crashes === 0) return
-    for (const run of known.runs.values()) run.cleared = true
+    for (const run of known.runs.values()) if (this.#isCleared(request, run)) run.cleared = true
     this.#count(request, known)
   }
 
+  /** Takes a run to the end that another host tells of. */
+  #completeTold(request: string, completedAtMs: number): void {
+    const knownAtMs = this.#completedAtMs.get(request) ?? Number.NEGATIVE_INFINITY
+    if (completedAtMs > knownAtMs + toldCompletionSlackMs) this.#complete(request, completedAtMs)
+  }
+
   /** Finds out whether the target's process has ended; resolves once that is known and recorded. */
   async runLost({ names, requestId, target, sentAtMs }: LostRun): Promise<void> {
     const { clock, hostName, logger } = this.#options
@@ -331,15 +346,19 @@
       .sort(([, a], [, b]) => b.crashes - a.crashes || b.lastCrashAtMs - a.lastCrashAtMs)
       .flatMap(([request, { runs }]) => [...runs.values()].map((run) => ({ request, run })))
       .slice(0, maxStatements)
-      .map(({ request, run: { target, startedAtEpochMs, hostName, sentAtMs, endedAtMs, cleared } }) => ({
-        request,
-        target,
-        startedAtEpochMs: startedAtEpochMs ?? null,
-        hostName,
-        sentAgeMs: nowMs - sentAtMs,
-        endedAgeMs: nowMs - endedAtMs,
-        cleared,
-      }))
+      .map(({ request, run: { target, startedAtEpochMs, hostName, sentAtMs, endedAtMs, cleared } }) => {
+        const completedAtMs = this.#completedAtMs.get(request)
+        return {
+          request,
+          target,
+          startedAtEpochMs: startedAtEpochMs ?? null,
+          hostName,
+          sentAgeMs: nowMs - sentAtMs,
+          endedAgeMs: nowMs - endedAtMs,
+          cleared,
+          ...(completedAtMs === undefined ? {} : { completedAgeMs: nowMs - completedAtMs }),
+        }
+      })
   }
 
   /** Takes what another host knows. */
@@ -353,8 +372,10 @@
       sentAgeMs,
       endedAgeMs,
       cleared,
+      completedAgeMs,
     } of statements) {
       if (endedAgeMs >= lifetimeMs) continue
+      if (completedAgeMs !== undefined) this.#completeTold(request, nowMs - completedAgeMs)
       this.#record(request, {
         target,
         startedAtEpochMs: startedAtEpochMs ?? undefined,
@@ -375,7 +396,7 @@
     }
     const key = processKey(run.target, run.startedAtEpochMs)
     const earlier = known.runs.get(key)
-    if (this.#hasCompletedLately(request)) run.cleared = true
+    if (this.#isCleared(request, run)) run.cleared = true
     // The same run as told again is late by the time that the messages took.
     if (earlier === undefined) known.runs.set(key, run)
     else if (run.cleared) earlier.cleared = true
@@ -385,9 +406,10 @@
     if (this.#known.size > maxRequests) this.#dropLeastSuspected()
   }
 
-  #hasCompletedLately(request: string): boolean {
+  /** Whether the request has run to its end since the run, or shortly before its end. */
+  #isCleared(request: string, { endedAtMs }: CrashedRun): boolean {
     const completedAtMs = this.#completedAtMs.get(request) ?? Number.NEGATIVE_INFINITY
-    return this.#options.clock.monotonicMs() - completedAtMs < completionLifetimeMs
+    return endedAtMs - completedAtMs < completionLifetimeMs
   }
 
   #count(request: string, known: KnownRequest): void {
--- a/packages/gateway/src/testing-crashes.ts
+++ b/packages/gateway/src/testing-crashes.ts
@@ -54,16 +54,17 @@
   losesReports = false
   /**
    * Other requests: those refused as if they crashed targets although they had run to their end and all hosts had
-   * time to hear of it; those served.
+   * time to hear of it; those served; those refused for a short time; the longest time from a refusal to a later one
+   * with no run to the end in between.
    */
-  readonly innocent = { blocked: 0, served: 0 }
+  readonly innocent = { blocked: 0, served: 0, refused: 0, longestRefusalMs: 0 }
   readonly #options: Required<CrashWorldOptions>
   readonly #random: Random
   /** When each crashing request arrived at a target, and when it crashed one. */
   readonly #arrivals = new Map<string, number[]>()
   readonly #crashes = new Map<string, number[]>()
-  /** When each other request first ran to its end, at any host. */
-  readonly #firstCompletedAtMs = new Map<string, number>()
+  /** When each other request that has not run to its end since was first refused. */
+  readonly #refusedSinceMs = new Map<string, number>()
   #rowVersion = 10
   #requests = 0
 
@@ -134,8 +135,7 @@
     const { crashes, selector, targets, directory } = host
     const refusal = crashes.refuse([name], defaultRetryAfterMs)
     if (refusal !== undefined) {
-      if (refusal.reason === 'request_crashes_targets' && !name.startsWith('crashing'))
-        this.innocent.blocked += 1
+      if (!name.startsWith('crashing')) this.#noteRefusal(name, refusal.reason)
       return
     }
     const match = directory.routes?.match('shop.example', '/notes/1')
@@ -186,14 +186,22 @@
         return
       }
       end()
-      crashes.runCompleted([name])
+      if (!crashes.isEmpty) crashes.runCompleted([name])
       this.innocent.served += 1
-      if (!this.#firstCompletedAtMs.has(name)) this.#firstCompletedAtMs.set(name, this.time.nowMs())
+      this.#refusedSinceMs.delete(name)
     }
     target.runs.add(lose)
     const cancel = this.time.clock().schedule(40 + this.#random.integer(80), complete)
   }
 
+  #noteRefusal(name: string, reason: string): void {
+    this.innocent.refused += 1
+    if (reason === 'request_crashes_targets') this.innocent.blocked += 1
+    const sinceMs = this.#refusedSinceMs.get(name) ?? this.time.nowMs()
+    this.#refusedSinceMs.set(name, sinceMs)
+    this.innocent.longestRefusalMs = Math.max(this.innocent.longestRefusalMs, this.time.nowMs() - sinceMs)
+  }
+
   #note(times: Map<string, number[]>, name: string): void {
     times.set(name, [...(times.get(name) ?? []), this.time.nowMs()])
   }
