Remember runs to the end also while no request is suspected

Cause: a run to the end clears crashes up to 10 s later, but the gateway recorded runs to the end only while some request was under suspicion; before the first crash, none was known. Now each one is recorded.

Evidence: `a request that was served shortly before the first crash of its targets is not suspected` failed before (4 suspects, 2 expected).

--- a/packages/gateway/src/crashing-requests.test.ts
+++ b/packages/gateway/src/crashing-requests.test.ts
@@ -1,6 +1,7 @@
 /** Requests that crash each target that runs them, and innocent ones that ran beside them. */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { setTimeout } from 'node:timers/promises'
 import { SilentLogger } from '@pimentotally/core'
 import { VirtualTime, type VirtualClock } from '@pimentotally/core/testing'
 import { targetRow } from '@pimentotally/platform/testing'
@@ -370,3 +371,28 @@
     assert.ok(!body.includes('request_crashes_targets'), body)
   }
 })
+
+test('a request that was served shortly before the first crash of its targets is not suspected', async (t) => {
+  /** A request is counted under two names. */
+  const suspectsOfNew = 2
+  const isCrashing = { current: false }
+  const targets = await Promise.all(
+    ['t0', 't1', 't2', 't3'].map((id) => {
+      const starting = startRawTarget(t, id, (socket, requestId) => {
+        if (isCrashing.current)
+          void starting.then((target) => {
+            target.end()
+          })
+        else socket.write(`${rawHead(requestId, ['Content-Length: 2'])}\r\nok`)
+      })
+      return starting
+    }),
+  )
+  const gateway = await TestGateway.start(t, targets)
+  assert.equal((await gateway.call('/notes/busy')).status, 200)
+  isCrashing.current = true
+  await gateway.call('/notes/busy')
+  await gateway.call('/notes/new')
+  await setTimeout(100)
+  assert.equal(gateway.crashingRequests.suspects, suspectsOfNew)
+})
--- a/packages/gateway/src/crashing-requests.ts
+++ b/packages/gateway/src/crashing-requests.ts
@@ -194,7 +194,7 @@
   readonly #running = new Map<string, Map<string, number>>()
   /** Whether the process of a target has ended, while that is being found out. */
   readonly #examinations = new Map<string, Promise<boolean>>()
-  /** When each request last ran to its end, the latest last; recorded only while any request is under suspicion. */
+  /** When each request last ran to its end, the latest last. */
   readonly #completedAtMs = new Map<string, number>()
   /** Lost runs of each request whose targets are being examined. */
   readonly #unexplained = new Map<string, number>()
--- a/packages/gateway/src/proxied-request.ts
+++ b/packages/gateway/src/proxied-request.ts
@@ -355,7 +355,7 @@
       void crashingRequests.runLost({ names: this.#crashNames, requestId, target, sentAtMs })
     }
     const completed = (): void => {
-      if (!crashingRequests.isEmpty) crashingRequests.runCompleted(this.#crashNames)
+      crashingRequests.runCompleted(this.#crashNames)
     }
     if (result.kind === 'lost' && (result.reason === 'reset' || result.reason === 'truncated')) lost()
     if (result.kind !== 'response' || result.notExecuted) return
--- a/packages/gateway/src/testing-crashes.ts
+++ b/packages/gateway/src/testing-crashes.ts
@@ -186,7 +186,7 @@
         return
       }
       end()
-      if (!crashes.isEmpty) crashes.runCompleted([name])
+      crashes.runCompleted([name])
       this.innocent.served += 1
       this.#refusedSinceMs.delete(name)
     }
--- a/packages/gateway/src/testing-gateway.ts
+++ b/packages/gateway/src/testing-gateway.ts
@@ -181,14 +181,21 @@
 
 export class TestGateway {
   readonly directory: Directory
+  readonly crashingRequests: CrashingRequests
   readonly #targets: TargetObservations
   /** The port for callers. */
   readonly port: number
   #requestCount = 0
   #outgoing: ClientRequest | undefined
 
-  private constructor(directory: Directory, targets: TargetObservations, port: number) {
+  private constructor(
+    directory: Directory,
+    targets: TargetObservations,
+    crashingRequests: CrashingRequests,
+    port: number,
+  ) {
     this.directory = directory
+    this.crashingRequests = crashingRequests
     this.#targets = targets
     this.port = port
   }
@@ -212,13 +219,14 @@
       version: 2,
     })
     const observations = new TargetObservations({ clock, logger, directory, hostName: 'h' })
+    const crashingRequests = new CrashingRequests({ clock, logger, directory, hostName: 'h' })
     const dispatcher = new Dispatcher({
       clock,
       logger,
       random,
       directory,
       targets: observations,
-      crashingRequests: new CrashingRequests({ clock, logger, directory, hostName: 'h' }),
+      crashingRequests,
       metrics: new GatewayMetrics(),
       domain: 'a',
       retryBudget: { ratio: 0.2, windowMs: 10_000, slack: 60 },
@@ -229,7 +237,7 @@
     const server = new CallerServer({ clock, logger, directory, dispatcher })
     const port = await server.listen('127.0.0.1:0')
     t.after(() => server.closeWhenDrained(0))
-    return new TestGateway(directory, observations, port)
+    return new TestGateway(directory, observations, crashingRequests, port)
   }
 
   /** Assigns all keys to one target; with `formerOwner`, as moves from that target that are not complete. */
