Let hosts send a crashing request in turn when several runs of it were lost at once

Cause: after two crashes a request ran once at a time, but at each host by itself. When the owner of a key ends, nobody owns the key for some 3.6 s; requests wait up to a third of their time for the end of the move, and all hosts send theirs in the same moment.

The change: a host marks a crash under which it, or it and another host, lost several runs at once, and hosts tell each other of the mark. Such a request is sent by hosts in turn, a tenth of them at a time, by the time since the last crash; nobody sends it in the first second, while hosts tell each other of the crash. An innocent request that comes often has been served shortly before and is not suspected; if not, it is cleared by the first turn in which it runs to its end. A request that is lost in one run is not affected. Not covered: a host sends a request that still waits for a connection (400 ms at most) without asking again.

--- a/packages/gateway/src/crashing-request-faults.test.ts
+++ b/packages/gateway/src/crashing-request-faults.test.ts
@@ -16,6 +16,8 @@
 /** The time after which hosts count as in touch with each other: an innocent request is refused for no longer. */
 const contactMs = 3000
 const skippedDraws = 10
+/** Longer than `contact`: runs that waited for the end of the move together count as late arrivals. */
+const keyMoveMs = 3600
 
 const runWithFaults = async (seed: number): Promise<CrashWorld> => {
   const random = new Random(seed)
@@ -28,6 +30,7 @@
     targets: pick([6, 12, 30]),
     crashing: pick([1, 2, 3]),
     requestsPerSecond: pick([30, 100, 300]),
+    keyMoveMs: seed % 2 === 0 ? keyMoveMs : 0,
   })
   for (let round = 0; round < rounds; round += 1) {
     const fault = pick(['rack', 'target', 'restart', 'pause', 'reports', 'none'])
--- a/packages/gateway/src/crashing-requests.test.ts
+++ b/packages/gateway/src/crashing-requests.test.ts
@@ -13,6 +13,7 @@
   type RequestContent,
 } from './crashing-requests.js'
 import { Directory } from './directory.js'
+import { routerStateKeys } from './router-state-rows.js'
 import { TestGateway, startRawTarget, rawHead, type TestTarget } from './testing-gateway.js'
 
 const request = 'crashing'
@@ -151,6 +152,81 @@
   assert.equal(b.crashes.verdict(names), CrashVerdict.blocked)
 })
 
+/** Registers the hosts of these names with one of them. */
+const registerHosts = ({ directory }: TestHost, hostNames: readonly string[]): void => {
+  for (const [index, name] of hostNames.entries()) {
+    const row = { key: routerStateKeys.host(name), version: index + 1, value: Buffer.from('{}') }
+    directory.applyRouterStateRow(row)
+  }
+}
+
+test('a request that several hosts lost at once is not sent by all of them at once again', async () => {
+  const time = new VirtualTime()
+  const hostNames = Array.from({ length: 10 }, (_, index) => `h${String(index)}`)
+  const hosts = hostNames.map((name) => startHost(time, name))
+  for (const host of hosts) registerHosts(host, hostNames)
+  const [leader, ...others] = hosts
+  assert.ok(leader)
+  const report = (): void => {
+    for (const host of others) {
+      tell(host, leader)
+      tell(leader, host)
+    }
+  }
+  await Promise.all(hosts.slice(0, 3).map((host) => loseRun(time, host, 't0')))
+  let arrivals = 0
+  // Callers send it to all hosts without end; each target ends while it runs it, the next one serves the key later.
+  for (const id of ['t1', 't2', 't3', 't4']) {
+    await time.advance(3600)
+    let senders: TestHost[] = []
+    for (let elapsedMs = 0; elapsedMs < 20_000 && senders.length === 0; elapsedMs += 50) {
+      if (elapsedMs % 350 === 0) report()
+      await time.advance(50)
+      senders = hosts.filter(({ crashes }) => crashes.refuse(names, 250) === undefined)
+    }
+    arrivals += senders.length
+    await Promise.all(senders.map((host) => loseRun(time, host, id)))
+  }
+  assert.ok(arrivals > 0 && arrivals <= 3, `${String(arrivals)} arrivals after the third run was lost`)
+})
+
+test('a request that several hosts lost at once is sent by each of them in turn until it runs to its end', async () => {
+  const time = new VirtualTime()
+  const [a, b] = [startHost(time, 'a'), startHost(time, 'b')] as const
+  for (const host of [a, b]) registerHosts(host, ['a', 'b'])
+  await Promise.all([a, b].map((host) => loseRun(time, host, 't0')))
+  tell(a, b)
+  tell(b, a)
+  const waiting = new Set([a, b])
+  for (let elapsedMs = 0; elapsedMs < 5000; elapsedMs += 50) {
+    await time.advance(50)
+    const free = [a, b].filter(({ crashes }) => crashes.refuse(names, 250) === undefined)
+    assert.ok(free.length <= 1)
+    for (const host of free) waiting.delete(host)
+  }
+  assert.equal(waiting.size, 0)
+  b.crashes.runCompleted(names)
+  tell(b, a)
+  for (const { crashes } of [a, b]) assert.equal(crashes.refuse(names, 250), undefined)
+})
+
+test('a request that is told to and fro, or repeated after its loss, is not taken for several at once', async () => {
+  const time = new VirtualTime()
+  const [a, b] = [startHost(time, 'a'), startHost(time, 'b')] as const
+  for (const host of [a, b]) registerHosts(host, ['a', 'b'])
+  await loseRun(time, a, 't0')
+  const target = a.directory.target('t0')
+  assert.ok(target)
+  void a.crashes.runLost({ names, requestId: 'r', target, sentAtMs: time.nowMs() - 1 })
+  await time.advance(1)
+  for (let round = 0; round < 5; round += 1) {
+    tell(a, b)
+    await time.advance(30)
+    tell(b, a)
+  }
+  for (const { crashes } of [a, b]) assert.equal(crashes.refuse(names, 250), undefined)
+})
+
 test('a busy request that runs on all targets of a rack when it is lost is not refused', async () => {
   const time = new VirtualTime()
   const hosts = [startHost(time, 'a'), startHost(time, 'b')] as const
--- a/packages/gateway/src/crashing-requests.ts
+++ b/packages/gateway/src/crashing-requests.ts
@@ -9,7 +9,14 @@
 import { connect } from 'node:net'
 import type { Clock, Logger } from '@pimentotally/core'
 import { splitAddress } from '@pimentotally/http'
-import { CrashVerdict, crashVerdict, successiveCrashes, type CrashedRun } from '@pimentotally/routing'
+import {
+  CrashVerdict,
+  areOverlapping,
+  crashVerdict,
+  successiveCrashes,
+  turnWaitMs,
+  type CrashedRun,
+} from '@pimentotally/routing'
 import type { Directory, KnownTarget } from './directory.js'
 
 /** A blocked request is refused for this long after its last crash; then it runs alone once more. */
@@ -81,11 +88,22 @@
   readonly cleared: boolean
   /** Since the request last ran to its end at any host; absent if that is not known. */
   readonly completedAgeMs?: number
+  /** Whether the target's process ended under several runs of the request at once; absent if that is not known. */
+  readonly shared?: boolean
 }
 
 export const isCrashStatement = (value: unknown): value is CrashStatement => {
-  const { request, target, startedAtEpochMs, hostName, sentAgeMs, endedAgeMs, cleared, completedAgeMs } =
-    (value ?? {}) as Partial<Record<string, unknown>>
+  const {
+    request,
+    target,
+    startedAtEpochMs,
+    hostName,
+    sentAgeMs,
+    endedAgeMs,
+    cleared,
+    completedAgeMs,
+    shared,
+  } = (value ?? {}) as Partial<Record<string, unknown>>
   return (
     typeof request === 'string' &&
     typeof target === 'string' &&
@@ -96,7 +114,8 @@
     Number(endedAgeMs) >= 0 &&
     Number(sentAgeMs) >= Number(endedAgeMs) &&
     typeof cleared === 'boolean' &&
-    (completedAgeMs === undefined || (Number.isFinite(completedAgeMs) && Number(completedAgeMs) >= 0))
+    (completedAgeMs === undefined || (Number.isFinite(completedAgeMs) && Number(completedAgeMs) >= 0)) &&
+    (shared === undefined || typeof shared === 'boolean')
   )
 }
 
@@ -104,6 +123,8 @@
   readonly target: string
   readonly startedAtEpochMs: number | undefined
   cleared: boolean
+  /** Whether the process ended under several runs of the request at once. */
+  shared: boolean
 }
 
 interface KnownRequest {
@@ -267,10 +288,25 @@
         return { reason: 'crash_unconfirmed', retryAfterMs: confirmationMs - ageMs, inputs }
       return { reason: 'request_crashes_targets', retryAfterMs: blockMs - ageMs, inputs }
     }
+    const isFrequent = this.#isFrequent(request)
+    if (verdict !== CrashVerdict.runsAlone && !isFrequent) return undefined
+    const { inputs, lastCrashAtMs } = this.#describe(request)
     const isRunning = [...this.#running.values()].some((runs) => runs.has(request))
-    return verdict === CrashVerdict.runsAlone && isRunning
-      ? { reason: 'suspect_runs', retryAfterMs, inputs: this.#describe(request).inputs }
-      : undefined
+    if (isRunning) return { reason: 'suspect_runs', retryAfterMs, inputs }
+    if (!isFrequent) return undefined
+    const { clock, directory, hostName } = this.#options
+    const lastCrashAgeMs = clock.monotonicMs() - lastCrashAtMs
+    const waitMs = turnWaitMs({ hostName, hostNames: directory.hostNames, lastCrashAgeMs })
+    return waitMs > 0 ? { reason: 'suspect_turn', retryAfterMs, inputs: { ...inputs, waitMs } } : undefined
+  }
+
+  /**
+   * Whether several runs of the request were lost at once: it comes to many hosts together, and each of them sending
+   * it once would be more runs than there may be after a third crash.
+   */
+  #isFrequent(request: string): boolean {
+    const runs = [...(this.#known.get(request)?.runs.values() ?? [])].filter(({ cleared }) => !cleared)
+    return runs.some(({ shared }) => shared) || successiveCrashes(runs).length < runs.length
   }
 
   /** Targets on which suspects other than this request run. */
@@ -332,7 +368,16 @@
     for (const name of names) addTo(this.#unexplained, name, -1)
     if (!hasEnded) return
     for (const name of names) {
-      this.#record(name, { target: id, startedAtEpochMs, hostName, sentAtMs, endedAtMs, cleared: false })
+      const run = {
+        target: id,
+        startedAtEpochMs,
+        hostName,
+        sentAtMs,
+        endedAtMs,
+        cleared: false,
+        shared: false,
+      }
+      this.#record(name, run, { isTold: false })
       const { inputs } = this.#describe(name)
       logger.info('request.crash', { ...inputs, requestId, target: id, ranMs: endedAtMs - sentAtMs })
     }
@@ -346,19 +391,22 @@
       .sort(([, a], [, b]) => b.crashes - a.crashes || b.lastCrashAtMs - a.lastCrashAtMs)
       .flatMap(([request, { runs }]) => [...runs.values()].map((run) => ({ request, run })))
       .slice(0, maxStatements)
-      .map(({ request, run: { target, startedAtEpochMs, hostName, sentAtMs, endedAtMs, cleared } }) => {
-        const completedAtMs = this.#completedAtMs.get(request)
-        return {
-          request,
-          target,
-          startedAtEpochMs: startedAtEpochMs ?? null,
-          hostName,
-          sentAgeMs: nowMs - sentAtMs,
-          endedAgeMs: nowMs - endedAtMs,
-          cleared,
-          ...(completedAtMs === undefined ? {} : { completedAgeMs: nowMs - completedAtMs }),
-        }
-      })
+      .map(
+        ({ request, run: { target, startedAtEpochMs, hostName, sentAtMs, endedAtMs, cleared, shared } }) => {
+          const completedAtMs = this.#completedAtMs.get(request)
+          return {
+            request,
+            target,
+            startedAtEpochMs: startedAtEpochMs ?? null,
+            hostName,
+            sentAgeMs: nowMs - sentAtMs,
+            endedAgeMs: nowMs - endedAtMs,
+            cleared,
+            ...(shared ? { shared } : {}),
+            ...(completedAtMs === undefined ? {} : { completedAgeMs: nowMs - completedAtMs }),
+          }
+        },
+      )
   }
 
   /** Takes what another host knows. */
@@ -373,21 +421,24 @@
       endedAgeMs,
       cleared,
       completedAgeMs,
+      shared = false,
     } of statements) {
       if (endedAgeMs >= lifetimeMs) continue
       if (completedAgeMs !== undefined) this.#completeTold(request, nowMs - completedAgeMs)
-      this.#record(request, {
+      const run = {
         target,
         startedAtEpochMs: startedAtEpochMs ?? undefined,
         hostName,
         sentAtMs: nowMs - sentAgeMs,
         endedAtMs: nowMs - endedAgeMs,
         cleared,
-      })
+        shared,
+      }
+      this.#record(request, run, { isTold: true })
     }
   }
 
-  #record(request: string, run: KnownRun): void {
+  #record(request: string, run: KnownRun, { isTold }: { readonly isTold: boolean }): void {
     const known = this.#known.get(request) ?? {
       runs: new Map(),
       crashes: 0,
@@ -399,7 +450,11 @@
     if (this.#isCleared(request, run)) run.cleared = true
     // The same run as told again is late by the time that the messages took.
     if (earlier === undefined) known.runs.set(key, run)
-    else if (run.cleared) earlier.cleared = true
+    else {
+      const isToldAgain = isTold && run.hostName === earlier.hostName
+      if (run.shared || (!isToldAgain && areOverlapping(earlier, run))) earlier.shared = true
+      if (run.cleared) earlier.cleared = true
+    }
     if (known.runs.size > maxRunsPerRequest) dropLeastTelling(known.runs)
     this.#known.set(request, known)
     this.#count(request, known)
--- a/packages/gateway/src/testing-crashes.ts
+++ b/packages/gateway/src/testing-crashes.ts
@@ -8,6 +8,7 @@
 import { CrashVerdict } from '@pimentotally/routing'
 import { CrashingRequests, ProcessState } from './crashing-requests.js'
 import { Directory } from './directory.js'
+import { routerStateKeys } from './router-state-rows.js'
 import { TargetObservations } from './target-observations.js'
 import { TargetSelector, defaultRetryAfterMs } from './target-selector.js'
 
@@ -17,6 +18,8 @@
 const reportIntervalMs = 350
 const deadlineMs = 2000
 const maxSendsPerAttempt = 2
+/** A request whose key moves waits for the new owner, but no longer. */
+const keyWaitMs = 330
 
 export interface CrashWorldOptions {
   readonly seed: number
@@ -25,6 +28,11 @@
   /** Number of requests that crash each target which runs them. */
   readonly crashing: number
   readonly requestsPerSecond?: number
+  /**
+   * If above 0, only the owner of its key can run a crashing request, and the key has another owner this long after
+   * a crash of its owner.
+   */
+  readonly keyMoveMs?: number
 }
 
 interface WorldTarget {
@@ -60,16 +68,18 @@
   readonly innocent = { blocked: 0, served: 0, refused: 0, longestRefusalMs: 0 }
   readonly #options: Required<CrashWorldOptions>
   readonly #random: Random
-  /** When each crashing request arrived at a target, and when it crashed one. */
+  /** When each crashing request arrived at a target, and when a run of it was lost, also beside another one. */
   readonly #arrivals = new Map<string, number[]>()
-  readonly #crashes = new Map<string, number[]>()
+  readonly #lostRuns = new Map<string, number[]>()
   /** When each other request that has not run to its end since was first refused. */
   readonly #refusedSinceMs = new Map<string, number>()
+  /** The owner of the key of each crashing request, and since when it is the owner. */
+  readonly #owners = new Map<string, { readonly target: WorldTarget; readonly sinceMs: number }>()
   #rowVersion = 10
   #requests = 0
 
   constructor(options: CrashWorldOptions) {
-    this.#options = { requestsPerSecond: 60, ...options }
+    this.#options = { requestsPerSecond: 60, keyMoveMs: 0, ...options }
     this.#random = new Random(options.seed)
     for (let index = 0; index < options.targets; index += 1) {
       const [id, address] = [`t${String(index)}`, `10.0.0.${String(index + 1)}:80`]
@@ -81,14 +91,14 @@
   /** Arrivals beyond what is allowed, of each crashing request. */
   get violations(): number[] {
     return [...this.#arrivals].map(([name, arrivals]) => {
-      const thirdCrashMs = this.#crashes.get(name)?.[2] ?? Number.POSITIVE_INFINITY
-      const late = arrivals.filter((atMs) => atMs > thirdCrashMs + contactMs).length
+      const thirdLossMs = this.#lostRuns.get(name)?.[2] ?? Number.POSITIVE_INFINITY
+      const late = arrivals.filter((atMs) => atMs > thirdLossMs + contactMs).length
       return Math.max(0, late - allowedLateArrivals)
     })
   }
 
   get crashCount(): number {
-    return [...this.#crashes.values()].flat().length
+    return [...this.#lostRuns.values()].flat().length
   }
 
   /** Callers send requests to random hosts: one in ten is a crashing one, and a third is always the same one. */
@@ -133,6 +143,15 @@
   /** A caller's attempt, which the host may repeat once; the caller itself comes again with a new one. */
   #send(host: WorldHost, name: string, leftMs: number, tried: ReadonlySet<string> = new Set()): void {
     const { crashes, selector, targets, directory } = host
+    const owner = this.#ownerOf(name)
+    if (owner !== undefined && owner.sinceMs > this.time.nowMs()) {
+      const waitMs = owner.sinceMs - this.time.nowMs()
+      if (waitMs > keyWaitMs) return
+      host.clock.schedule(waitMs, () => {
+        this.#send(host, name, leftMs, tried)
+      })
+      return
+    }
     const refusal = crashes.refuse([name], defaultRetryAfterMs)
     if (refusal !== undefined) {
       if (!name.startsWith('crashing')) this.#noteRefusal(name, refusal.reason)
@@ -154,10 +173,11 @@
       runsAlone: isSuspect && verdict !== CrashVerdict.suspected,
     })
     if ('refusal' in selection) return
-    const target = this.targets.find(({ id }) => id === selection.target.id)
-    if (target === undefined) return
+    const target = owner?.target ?? this.targets.find(({ id }) => id === selection.target.id)
+    const known = target === undefined ? undefined : directory.target(target.id)
+    if (target === undefined || known === undefined) return
     if (!target.isUp) {
-      targets.connectFailed(selection.target, 'refused')
+      targets.connectFailed(known, 'refused')
       if (tried.size === 0) this.#send(host, name, leftMs, new Set([target.id]))
       return
     }
@@ -174,14 +194,14 @@
     }
     const lose = (): void => {
       end()
-      void crashes.runLost({ names: [name], requestId: name, target: selection.target, sentAtMs })
+      if (name.startsWith('crashing')) this.#note(this.#lostRuns, name)
+      void crashes.runLost({ names: [name], requestId: name, target: known, sentAtMs })
       if (tried.size + 1 < maxSendsPerAttempt && crashes.mayRepeat([name])) {
         this.#send(host, name, leftMs, new Set([...tried, target.id]))
       }
     }
     const complete = (): void => {
       if (name.startsWith('crashing')) {
-        this.#note(this.#crashes, name)
         this.#end(target)
         return
       }
@@ -194,6 +214,20 @@
     const cancel = this.time.clock().schedule(40 + this.#random.integer(80), complete)
   }
 
+  /** Undefined for a request that any target can run. */
+  #ownerOf(name: string): { readonly target: WorldTarget; readonly sinceMs: number } | undefined {
+    const { keyMoveMs } = this.#options
+    if (keyMoveMs === 0 || !name.startsWith('crashing')) return undefined
+    const owner = this.#owners.get(name)
+    if (owner?.target.isUp === true) return owner
+    if (owner !== undefined && owner.sinceMs > this.time.nowMs()) return owner
+    const target = this.#random.pick(this.targets.filter(({ isUp }) => isUp)) ?? this.targets[0]
+    if (target === undefined) return undefined
+    const next = { target, sinceMs: this.time.nowMs() + (owner === undefined ? 0 : keyMoveMs) }
+    this.#owners.set(name, next)
+    return next
+  }
+
   #noteRefusal(name: string, reason: string): void {
     this.innocent.refused += 1
     if (reason === 'request_crashes_targets') this.innocent.blocked += 1
@@ -224,6 +258,13 @@
     const directory = new Directory({ clock, logger, heartbeatMs: 300 })
     directory.applyOperatorTable({ changed: [configurationRow()], removed: [], version: 1 })
     this.#register(directory)
+    for (let other = 0; other < this.#options.hosts; other += 1) {
+      directory.applyRouterStateRow({
+        key: routerStateKeys.host(`h${String(other)}`),
+        version: other + 1,
+        value: Buffer.from('{}'),
+      })
+    }
     const targets = new TargetObservations({ clock, logger, directory, hostName })
     const selector = new TargetSelector({
       clock,
--- a/packages/routing/src/crash-history.test.ts
+++ b/packages/routing/src/crash-history.test.ts
@@ -1,7 +1,14 @@
 /** Counting of crashes that one request explains. */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { CrashVerdict, crashVerdict, successiveCrashes, type CrashedRun } from './crash-history.js'
+import {
+  CrashVerdict,
+  areOverlapping,
+  crashVerdict,
+  successiveCrashes,
+  turnWaitMs,
+  type CrashedRun,
+} from './crash-history.js'
 
 const run = (sentAtMs: number, endedAtMs: number, hostName = 'h'): CrashedRun => ({
   sentAtMs,
@@ -34,3 +41,44 @@
     ],
   )
 })
+
+test('runs overlap only if each was sent well before the other ended', () => {
+  assert.ok(areOverlapping(run(0, 100), run(60, 101)))
+  assert.ok(!areOverlapping(run(0, 100), run(100, 101)), 'a repeat after the loss')
+  assert.ok(!areOverlapping(run(0, 100, 'a'), run(95, 101, 'b')), 'the same, seen by another host')
+})
+
+const hostNames = (count: number): string[] =>
+  Array.from({ length: count }, (_, index) => `h${String(index).padStart(4, '0')}`)
+
+test('at no time may more than a tenth of many hosts send a suspect, and each may in its turn', () => {
+  for (const count of [2, 3, 10, 15, 195]) {
+    const names = hostNames(count)
+    const senders = new Set<string>()
+    for (let lastCrashAgeMs = 0; lastCrashAgeMs < 21_000; lastCrashAgeMs += 50) {
+      const sending = names.filter(
+        (hostName) => turnWaitMs({ hostName, hostNames: names, lastCrashAgeMs }) === 0,
+      )
+      assert.ok(
+        sending.length <= Math.ceil(count / 10),
+        `${String(sending.length)} of ${String(count)} hosts`,
+      )
+      if (lastCrashAgeMs < 1000) assert.deepEqual(sending, [], 'the crash is not known to all hosts yet')
+      for (const hostName of sending) senders.add(hostName)
+    }
+    assert.equal(senders.size, count)
+  }
+  assert.equal(turnWaitMs({ hostName: 'h', hostNames: ['h'], lastCrashAgeMs: 0 }), 0)
+  assert.equal(turnWaitMs({ hostName: 'h', hostNames: [], lastCrashAgeMs: 0 }), 0)
+})
+
+test('the wait for a turn ends with the turn', () => {
+  const names = hostNames(10)
+  for (const hostName of names) {
+    for (let lastCrashAgeMs = 0; lastCrashAgeMs < 21_000; lastCrashAgeMs += 50) {
+      const waitMs = turnWaitMs({ hostName, hostNames: names, lastCrashAgeMs })
+      assert.ok(waitMs >= 0 && waitMs <= 10_000)
+      assert.equal(turnWaitMs({ hostName, hostNames: names, lastCrashAgeMs: lastCrashAgeMs + waitMs }), 0)
+    }
+  }
+})
