Take an evacuation of an older copy for ended until the operator has had time to remove it again

Callers saw: after a return of the store, a domain whose evacuation had ended in the lost seconds got no requests, and its keys moved, until the operator removed the row once more.

Cause: the row of the copy is in the new era, so every host took it for a new evacuation.

Change: a host that knows that the evacuation ended ignores a row of the new era, whose version is not above what it knew then, for the 2.5 s in which others write their rows again. Afterwards it is in force, with its age counted from the first sight, so that keyed requests to the domain end within the bound of a real evacuation. The concern has its own file.

Sole ownership: evacuations only say from which targets keys are moved and which targets receive keys; no proof that a hold has ended reads them.

Test first: "an evacuation that ended before the store came back ..." of directory.test failed ("the row of the copy") and passes; directory, reachability and dispatcher tests 43 of 43.

--- a/packages/gateway/src/directory.test.ts
+++ b/packages/gateway/src/directory.test.ts
@@ -7,6 +7,7 @@
 import { SilentLogger } from '@pimentotally/core'
 import { VirtualTime } from '@pimentotally/core/testing'
 import { configurationRow, targetRow } from '@pimentotally/platform/testing'
+import { packPosition } from '@pimentotally/storage'
 import { Directory } from './directory.js'
 
 const address = '10.0.0.1:80'
@@ -61,6 +62,56 @@
   assert.equal(directory.routes?.configuration.version, 9)
 })
 
+test('an evacuation that ended before the store came back from an older copy is in force only if it lasts', async () => {
+  const positionOf = (era: number, version: number): number => packPosition(era, version) ?? 0
+  const row = (era: number, version: number) => ({
+    key: 'evacuate/a',
+    version: positionOf(era, version),
+    value: Buffer.from('{}'),
+  })
+  const startEvacuated = (): { time: VirtualTime; directory: Directory } => {
+    const { time, directory } = start()
+    directory.applyOperatorTable({ changed: [row(1, 20)], removed: [], version: positionOf(1, 20) })
+    assert.equal(directory.isEvacuated('a'), true)
+    directory.applyOperatorTable({ changed: [], removed: ['evacuate/a'], version: positionOf(1, 50) })
+    return { time, directory }
+  }
+  const { time, directory } = startEvacuated()
+  directory.applyOperatorTable({ changed: [row(2, 20)], removed: [], version: positionOf(2, 40) })
+  assert.equal(directory.isEvacuated('a'), false, 'the row of the copy')
+  assert.equal(directory.evacuatedForMs('a'), 0)
+  await time.advance(2600)
+  assert.equal(directory.isEvacuated('a'), true, 'the row of the copy, not removed again')
+  assert.equal(directory.evacuatedForMs('a'), 2600)
+
+  const removedAgain = startEvacuated()
+  removedAgain.directory.applyOperatorTable({
+    changed: [row(2, 20)],
+    removed: [],
+    version: positionOf(2, 40),
+  })
+  removedAgain.directory.applyOperatorTable({
+    changed: [],
+    removed: ['evacuate/a'],
+    version: positionOf(2, 41),
+  })
+  await removedAgain.time.advance(2600)
+  assert.equal(removedAgain.directory.isEvacuated('a'), false, 'removed again')
+
+  const writtenAgain = startEvacuated()
+  writtenAgain.directory.applyOperatorTable({
+    changed: [row(2, 20)],
+    removed: [],
+    version: positionOf(2, 40),
+  })
+  writtenAgain.directory.applyOperatorTable({
+    changed: [row(2, 60)],
+    removed: [],
+    version: positionOf(2, 60),
+  })
+  assert.equal(writtenAgain.directory.isEvacuated('a'), true, 'a new evacuation')
+})
+
 test('a malformed configuration leaves the current one in force', () => {
   const { directory } = start()
   directory.applyOperatorTable({
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -18,6 +18,7 @@
 import { configurationKey, decodeConfiguration, decodeTarget, evacuatedDomain } from '@pimentotally/platform'
 import { RouteTable, TargetState, type Configuration, type Target } from '@pimentotally/routing'
 import { absentIn, eraOf, originOf, type StoredRow } from '@pimentotally/storage'
+import { Evacuations } from './evacuations.js'
 import { LeavingTargets, type LeavingStatement } from './leaving-targets.js'
 import type { ReplicaChange } from './replica.js'
 import { decodeHost, decodeLeader, routerStateKeys, type HostRecord } from './router-state-rows.js'
@@ -107,8 +108,7 @@
   readonly #byService = new Map<string, KnownTarget[]>()
   /** The processes that were seen at each address, in the order in which they were first seen. */
   readonly #processesByAddress = new Map<string, TargetProcess[]>()
-  /** Evacuated domains, each with the time at which this host learned of its evacuation. */
-  readonly #evacuated = new Map<string, number>()
+  readonly #evacuations: Evacuations
   readonly #assignments = new Map<string, StoredBlocks>()
   readonly #hosts = new Map<string, HostRecord>()
   #hostNames: readonly string[] = []
@@ -130,6 +130,7 @@
 
   constructor(options: DirectoryOptions) {
     this.#options = options
+    this.#evacuations = new Evacuations(options.clock, options.logger)
   }
 
   get routes(): RouteTable | undefined {
@@ -189,7 +190,7 @@
 
   /** Whether new work may be sent to the target. */
   isUsable(target: KnownTarget): boolean {
-    return target.state === TargetState.ready && !this.#evacuated.has(target.domain)
+    return target.state === TargetState.ready && !this.#evacuations.has(target.domain)
   }
 
   /** Records that the process of the target has said in a response that it is leaving. */
@@ -220,13 +221,12 @@
   }
 
   isEvacuated(domain: string): boolean {
-    return this.#evacuated.has(domain)
+    return this.#evacuations.has(domain)
   }
 
   /** How long this host has known that the domain is evacuated; 0 for a domain that is not. */
   evacuatedForMs(domain: string): number {
-    const sinceMs = this.#evacuated.get(domain)
-    return sinceMs === undefined ? 0 : this.#options.clock.monotonicMs() - sinceMs
+    return this.#evacuations.knownForMs(domain)
   }
 
   /**
@@ -289,17 +289,15 @@
   }
 
   /** Applies changed rows of the operator's table. */
-  applyOperatorTable({ changed, removed }: ReplicaChange): void {
+  applyOperatorTable({ changed, removed, version }: ReplicaChange): void {
     for (const row of changed) {
       if (row.key === configurationKey) this.#configure(row)
       const domain = evacuatedDomain(row.key)
-      if (domain === undefined || this.#evacuated.has(domain)) continue
-      this.#evacuated.set(domain, this.#options.clock.monotonicMs())
-      this.#options.logger.info('domain.evacuated', { domain, version: row.version })
+      if (domain !== undefined) this.#evacuations.begin(domain, row)
     }
     for (const key of removed) {
       const domain = evacuatedDomain(key)
-      if (domain !== undefined) this.#restoreDomain(domain)
+      if (domain !== undefined) this.#restoreDomain(domain, version)
     }
   }
 
@@ -408,9 +406,8 @@
     }
   }
 
-  #restoreDomain(domain: string): void {
-    if (!this.#evacuated.delete(domain)) return
-    this.#options.logger.info('domain.restored', { domain })
+  #restoreDomain(domain: string, position: number): void {
+    if (!this.#evacuations.end(domain, position)) return
     // Its targets may have turned cold, so they count as cold for `coldStartMs`, unless their next entries
     // say otherwise.
     const nowMs = this.#options.clock.monotonicMs()
