Take a copy without any assignment for a first start only in the first era of the store

Callers saw (in the simulation): after a return of the store to a copy from before the first assignment, and a restart of all hosts, two targets held the same keys for seconds, with and without a leader's record in the copy.

Cause: whether rows may be lost was known only to a process that had seen the era rise. A process that started later, and found no assignment, granted all keys at once; and took a lease at once, as no record of a leader was there.

Change: in any era but the first, an absent assignment or leader's record counts as possibly lost, and the waits that apply to an older assignment apply: a lease before a takeover, and all grants of earlier eras before the first grant.

Sole ownership: the change only adds waits. To take the era of the leader's record as further evidence was tried and left out: the first leader of the new era writes it over, so that the next one does not see it. A first start on a store that has come back before waits some 13 s; nothing sound tells it from a return.

--- a/packages/gateway/src/assignment-controller.ts
+++ b/packages/gateway/src/assignment-controller.ts
@@ -133,7 +133,7 @@
         workMs: () => workMs(service),
         remainingMs: () => leadership.remainingMs(tenure.term),
         mayDecide: () => leadership.isOfPresentEra,
-        hasSeenReturn: () => leadership.hasSeenReturn,
+        mayLackRows: () => leadership.mayLackRows,
         // Recorded because the next leader has to wait until the grants of the longest hold time have lapsed.
         beforeLongGrant: () => {
           leadership.recordLongGrants()
--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -17,7 +17,7 @@
   type LeaseTimes,
 } from '@pimentotally/assignment'
 import { storeTables } from '@pimentotally/platform'
-import { absentIn, eraOf, type RowStore } from '@pimentotally/storage'
+import { absentIn, eraOf, firstEra, type RowStore } from '@pimentotally/storage'
 import type { Directory, KnownLeader } from './directory.js'
 import { encodeLeader, routerStateKeys } from './router-state-rows.js'
 import { grantTimeoutMs } from './target-grants.js'
@@ -132,9 +132,12 @@
     return this.#lease !== undefined || this.#takeoverWaitMs() > 0
   }
 
-  /** Whether the store came back from an older copy while this process ran. */
-  get hasSeenReturn(): boolean {
-    return this.#hasSeenReturn
+  /**
+   * Whether the store may have come back from an older copy, before this process started or while it ran, so
+   * that a row which is absent may be a lost one. A process that starts later sees it by the era alone.
+   */
+  get mayLackRows(): boolean {
+    return this.#hasSeenReturn || this.#options.directory.routerStateEra > firstEra
   }
 
   /**
@@ -200,7 +203,7 @@
     const nowMs = clock.monotonicMs()
     const stored = directory.storedLeader
     const isOfPresentEra =
-      stored === undefined ? !this.#hasSeenReturn : stored.record.era === directory.routerStateEra
+      stored === undefined ? !this.mayLackRows : stored.record.era === directory.routerStateEra
     // A record of an earlier era may have been followed by others, which are lost; also one that says that
     // the lease was released.
     const { leaseMs, marginMs } = leaseTimes
--- a/packages/gateway/src/restored-store.test.ts
+++ b/packages/gateway/src/restored-store.test.ts
@@ -7,6 +7,7 @@
 import { test } from 'node:test'
 import { storeTables } from '@pimentotally/platform'
 import { configurationRow } from '@pimentotally/platform/testing'
+import { routerStateKeys } from './router-state-rows.js'
 import { OwnershipSimulation, service } from './testing-simulation.js'
 
 /** After this time from the start all keys are held. */
@@ -21,9 +22,12 @@
   return simulation
 }
 
-/** Moves keys for some seconds, and brings the store back without these moves. */
-const loseMoves = async (simulation: OwnershipSimulation, outageMs: number): Promise<void> => {
-  const copy = simulation.store.copy()
+/** Moves keys for some seconds, and brings the store back without these moves, or from an earlier copy. */
+const loseMoves = async (
+  simulation: OwnershipSimulation,
+  outageMs: number,
+  copy = simulation.store.copy(),
+): Promise<void> => {
   const [first, second] = simulation.targets
   assert.ok(first && second)
   simulation.drain(first)
@@ -69,6 +73,22 @@
   })
 }
 
+for (const copiedAtMs of [0, 1200]) {
+  test(`hosts that have just started do not take a copy without any assignment for a first start, copied after ${String(copiedAtMs)} ms`, async () => {
+    for (const outageMs of [100, 700, 2000, 6000]) {
+      const simulation = new OwnershipSimulation({ seed: outageMs })
+      await simulation.advance(copiedAtMs)
+      const copy = simulation.store.copy()
+      assert.ok(!copy.tables.get(storeTables.routerState)?.has(routerStateKeys.assignment(service, 0)))
+      await simulation.advance(startupMs)
+      await loseMoves(simulation, outageMs, copy)
+      simulation.restartHosts()
+      await simulation.advance(longestWaitMs + startupMs)
+      assertOwned(simulation)
+    }
+  })
+}
+
 test('a target that did not answer while its keys moved does not get them again under its earlier fence', async () => {
   for (let seed = 1; seed <= 3; seed += 1) {
     const simulation = await startSimulation(seed)
--- a/packages/gateway/src/service-assignment-controller.ts
+++ b/packages/gateway/src/service-assignment-controller.ts
@@ -83,8 +83,8 @@
   readonly stored: () => void
   /** Whether the lease is written in the present era of the store, so that decisions may be. */
   readonly mayDecide: () => boolean
-  /** Whether the store came back from an older copy while this process ran. */
-  readonly hasSeenReturn: () => boolean
+  /** Whether an assignment that is absent may be lost, as the store may have come back from an older copy. */
+  readonly mayLackRows: () => boolean
 }
 
 /** Share of the targets' capacity that is used; requests above a target's capacity do not count. */
@@ -204,7 +204,7 @@
    */
   #mayHaveLostDecisions(): boolean {
     if (this.#isComplete) return false
-    if (this.#assignment === undefined && !this.#options.hasSeenReturn()) return false
+    if (this.#assignment === undefined && !this.#options.mayLackRows()) return false
     const { clock, tenure } = this.#options
     return clock.monotonicMs() < tenure.earlierErasLapseAtMs
   }
--- a/packages/gateway/src/testing-faults.ts
+++ b/packages/gateway/src/testing-faults.ts
@@ -5,7 +5,9 @@
  */
 import { storeTables } from '@pimentotally/platform'
 import { Random } from '@pimentotally/core'
+import type { MemoryRowStoreCopy } from '@pimentotally/storage'
 import { entryLapseMs, type OwnershipSimulation, type SimulatedHost } from './testing-simulation.js'
+import { routerStateKeys } from './router-state-rows.js'
 import type { SimulatedTarget } from './testing-target.js'
 
 /** Ends a fault; undefined for a fault that ends by itself, lasts, or could not be started. */
@@ -56,6 +58,33 @@
   }
 }
 
+/** The copy without any assignment, as if it had been made before the first one. */
+const withoutAssignments = (copy: MemoryRowStoreCopy, keepsLeader: boolean): MemoryRowStoreCopy => {
+  const table = storeTables.routerState
+  const isKept = ({ key }: { readonly key: string }): boolean =>
+    !routerStateKeys.isAssignment(key) && (keepsLeader || key !== routerStateKeys.leader)
+  const rows = [...(copy.tables.get(table)?.values() ?? [])].filter(isKept)
+  return {
+    tables: new Map(copy.tables).set(table, new Map(rows.map((row) => [row.key, row]))),
+    changes: new Map(copy.changes).set(table, (copy.changes.get(table) ?? []).filter(isKept)),
+    version: copy.version,
+  }
+}
+
+/**
+ * As `storeRestored`, from a copy that has no assignment. With an odd index it has the record of the leader.
+ */
+const storeRestoredToStart: StartFault = (simulation, index) => {
+  const copy = withoutAssignments(simulation.store.copy(), index % 2 === 1)
+  return () => {
+    simulation.store.isSilent = true
+    simulation.time.schedule(100 + (index % 5) * 600, () => {
+      simulation.store.isSilent = false
+      simulation.restoreStore(copy)
+    })
+  }
+}
+
 /** All host processes end and new ones start, which know only what the store has. */
 const restartHosts: StartFault = (simulation) => {
   simulation.restartHosts()
@@ -435,6 +464,7 @@
   pauseHost,
   storeDown,
   storeRestored,
+  storeRestoredToStart,
   restartHosts,
   leaderRefused,
   writesLost,
--- a/packages/gateway/src/testing-store.ts
+++ b/packages/gateway/src/testing-store.ts
@@ -10,6 +10,7 @@
   MemoryRowStore,
   RowStore,
   eraOf,
+  firstEra,
   packPosition,
   versionOf,
   type MemoryRowStoreCopy,
@@ -38,7 +39,7 @@
   /** Bound of a random time that is added to each call; each call then takes effect at a random moment. */
   jitterMs = 0
   /** Rises each time the store comes back from an older copy. */
-  era = 0
+  era = firstEra
 
   constructor(time: VirtualTime) {
     super()
--- a/packages/storage/src/store-position.ts
+++ b/packages/storage/src/store-position.ts
@@ -12,6 +12,12 @@
 /** Fences of one era are below this multiple; a fence rises by one with each move of keys. */
 const fencesPerEra = 2 ** 32
 
+/**
+ * A store that has never come back from an older copy is in this era, or in era 0 if it names none. In a later
+ * one, rows that are absent may be lost.
+ */
+export const firstEra = 1
+
 /** Undefined when the era or the version is out of range. */
 export const packPosition = (era: number, version: number): number | undefined =>
   Number.isInteger(era) &&
--- a/scripts/check-defences.mjs
+++ b/scripts/check-defences.mjs
@@ -24,9 +24,9 @@
 
 const ownershipTests = {
   directed: ['ownership', 'ownership-bounds', 'target-grants', 'directory'],
-  random: ['ownership-faults'],
+  random: ['ownership-faults', 'restored-store-faults'],
 }
-const restoreTests = { directed: ['restored-store'], random: ['ownership-faults'] }
+const restoreTests = { directed: ['restored-store'], random: ['restored-store-faults'] }
 const limitTests = { directed: ['target-limits'], random: ['target-limit-faults'] }
 
 const responseTests = {
@@ -182,6 +182,10 @@
       ],
     ],
   },
+  {
+    name: 'a copy without any assignment counts as a first start',
+    changes: [[gateway('leadership'), '|| this.#options.directory.routerStateEra > firstEra', '']],
+  },
   {
     name: 'owners of an older copy get their keys under the fences of the copy',
     changes: [
