Pass a reset on as a reset in the test forwarder

A reset of one side ended the other side in order (destroy() sends FIN). Behind the forwarder, a response without a length that was reset midway could not be told from a complete one, by any gateway. The soak does not write such responses yet; with them, each of these would be reported as the gateway's fault. Node reports an end for some reset connections; there, the missing remote port tells.

--- a/packages/standins/src/forwarder.ts
+++ b/packages/standins/src/forwarder.ts
@@ -172,10 +172,14 @@
       }
     })
     from.on('end', () => {
-      if (!isDropped()) to.end()
+      if (isDropped()) return
+      // Node reports an end for some reset connections; such a one has no remote port any more.
+      if (from.remotePort === undefined) to.resetAndDestroy()
+      else to.end()
     })
+    // A reset is passed on as one: after an end, a response without a length would look complete.
     from.on('error', () => {
-      if (!isDropped()) to.destroy()
+      if (!isDropped()) to.resetAndDestroy()
     })
     from.on('close', (hadError) => {
       // Without an error both directions have ended in order, and `to` may still have bytes to send.
