Compare the answers of the soak with what its targets wrote

The checker compared the body of a 200 with a fixed text, so it saw neither a status that differs nor a missing signature, and its targets never stuttered. Each answer is now compared in id, signature, status and body with what the target wrote for that attempt. A failure of an earlier attempt where the same target then wrote a success is reported on its own; where the daemon's log says that the later answer was lost, it is listed but is no violation.

Beside each other fault, faults of answers are switched on for some targets, with shares drawn from the seed, and one of two connection limits, so that requests wait for connections in some runs. Two more callers use raw sockets: pipelined safe requests, and HTTP/1.0 with one request a connection. The report holds the daemons' lines when there are violations; lines that were split over two reads were broken before.

The order of random draws changes, so a seed names another run than before this commit.

--- a/packages/standins/src/gateway-cluster.ts
+++ b/packages/standins/src/gateway-cluster.ts
@@ -7,6 +7,7 @@
 import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
+import { createInterface } from 'node:readline'
 import { fileURLToPath } from 'node:url'
 import { Random } from '@pimentotally/core'
 import { configurationKey, settingsVariable, storeTables } from '@pimentotally/platform'
@@ -15,6 +16,7 @@
   RowStoreServer,
   configurationBytes,
   settingsDocument,
+  type FaultyAnswers,
   type KeyTargetOptions,
   type RouteDocument,
 } from '@pimentotally/platform/testing'
@@ -71,16 +73,17 @@
   objectiveMs: 1000,
 })
 
-const limits = { maxConnections: 120, coldStartMs: 1000, coldRequestsPerSecond: 50 }
-
-const configuration = configurationBytes({
-  version: 1,
-  services: [
-    { name: 'notes', isSharded: true, ...limits },
-    { name: 'orders', ...limits },
-  ],
-  routes: [route('notes', 'safe'), route('orders', 'unsafe')],
-})
+const configurationOf = (maxConnections: number): Buffer => {
+  const limits = { maxConnections, coldStartMs: 1000, coldRequestsPerSecond: 50 }
+  return configurationBytes({
+    version: 1,
+    services: [
+      { name: 'notes', isSharded: true, ...limits },
+      { name: 'orders', ...limits },
+    ],
+    routes: [route('notes', 'safe'), route('orders', 'unsafe')],
+  })
+}
 
 export interface GatewayProcessOptions {
   readonly name: string
@@ -108,16 +111,9 @@
       env: { PATH: process.env.PATH, [settingsVariable]: options.settingsPath },
       stdio: ['ignore', 'pipe', 'pipe'],
     })
-    const keep = (chunk: Buffer): void => {
-      this.outputLines.push(
-        ...chunk
-          .toString()
-          .split('\n')
-          .filter((line) => line !== ''),
-      )
+    for (const output of [this.#child.stdout, this.#child.stderr]) {
+      if (output !== null) createInterface(output).on('line', (line) => this.outputLines.push(line))
     }
-    this.#child.stdout?.on('data', keep)
-    this.#child.stderr?.on('data', keep)
     this.exited = new Promise((resolve) => {
       this.#child.once('exit', resolve)
     })
@@ -150,6 +146,10 @@
   /** Number of targets of each of the two services. */
   readonly targets?: number
   readonly target?: Partial<KeyTargetOptions>
+  /** Returns what writes the answers of the target with this id; they have no faults by default. */
+  readonly faultyAnswers?: (targetId: string) => FaultyAnswers | undefined
+  /** Most connections that a target accepts of all daemons together, as its service's configuration says. */
+  readonly maxConnections?: number
   /** Returns the address that the daemons use for the given one, such as that of a forwarder; the same by default. */
   readonly forwardedAddress?: (address: string) => Promise<string>
 }
@@ -161,6 +161,8 @@
   /** Targets of the service `orders`, which has no keys and whose requests must run at most once. */
   readonly orders: readonly KeyTargetServer[]
   readonly hosts: GatewayProcess[] = []
+  /** All processes that were started, including those that have ended and were replaced. */
+  readonly processes: GatewayProcess[] = []
   readonly #folder = mkdtempSync(join(tmpdir(), 'pimentotally-gateway-'))
   readonly #addresses = new Map<KeyTargetServer, string>()
   readonly #heartbeat: NodeJS.Timeout
@@ -183,10 +185,12 @@
     hosts = 2,
     targets = 3,
     target = {},
+    faultyAnswers = () => undefined,
+    maxConnections = 120,
     forwardedAddress = (address) => Promise.resolve(address),
   }: GatewayClusterOptions = {}): Promise<GatewayCluster> {
     const store = await RowStoreServer.start()
-    store.store.write(storeTables.operator, configurationKey, configuration)
+    store.store.write(storeTables.operator, configurationKey, configurationOf(maxConnections))
     const start = (name: string, isSharded: boolean): Promise<KeyTargetServer[]> =>
       Promise.all(
         Array.from({ length: targets }, (_, index) =>
@@ -196,6 +200,7 @@
             service: name,
             domain: 'a',
             isSharded,
+            answers: faultyAnswers(`${name}-${String(index)}`),
           }),
         ),
       )
@@ -234,6 +239,7 @@
   restart(host: GatewayProcess): GatewayProcess {
     const started = new GatewayProcess(host.options)
     this.hosts[this.hosts.indexOf(host)] = started
+    this.processes.push(started)
     return started
   }
 
@@ -297,6 +303,8 @@
       heartbeatMs,
     })
     writeFileSync(settingsPath, settings)
-    this.hosts.push(new GatewayProcess({ name, settingsPath, port, readyPort, ports }))
+    const started = new GatewayProcess({ name, settingsPath, port, readyPort, ports })
+    this.hosts.push(started)
+    this.processes.push(started)
   }
 }
--- a/packages/standins/src/gateway-soak.ts
+++ b/packages/standins/src/gateway-soak.ts
@@ -2,16 +2,32 @@
  * A randomised soak test of the gateway daemons as real processes. Faults are injected one after another and may
  * overlap: processes are paused, killed or stopped by signals, and restarted; connections to the store and the targets
  * go silent, are reset, or lose the bytes of one direction; the store refuses, does not answer, answers slowly or loses
- * responses; targets name limits on their requests. Callers send all the time, some of them on keep-alive connections.
- * During the run it is checked that no two targets hold a key; afterwards, from what callers and targets recorded, that
- * the daemons recovered, that no unsafe request ran twice or ran although it was refused, and that each caller got its
- * own response.
+ * responses; targets name limits on their requests. Beside each of these, targets answer with faults: twice, without a
+ * length, broken off, in segments, without a signature. Callers send all the time, some of them on keep-alive
+ * connections. During the run it is checked that no two targets hold a key; afterwards, from what callers and targets
+ * recorded, that the daemons recovered, that no unsafe request ran twice or ran although it was refused, and that each
+ * caller got an answer that a target wrote for its request, whole, or a failure of the gateway's own.
  */
-import { Agent, request as httpRequest } from 'node:http'
+import { Agent } from 'node:http'
 import { Random } from '@pimentotally/core'
-import { StoreFault, callerHeaders } from '@pimentotally/platform/testing'
+import {
+  AnswerRecord,
+  FaultyAnswers,
+  StoreFault,
+  noAnswerFaults,
+  type AnswerFaultShares,
+} from '@pimentotally/platform/testing'
+import { checkAnswer, laterSuccesses } from './answer-checks.js'
 import { Forwarder } from './forwarder.js'
-import { GatewayCluster, type GatewayProcess } from './gateway-cluster.js'
+import { GatewayCluster } from './gateway-cluster.js'
+import {
+  callRaw,
+  callThroughAgent,
+  notesPath,
+  ordersPath,
+  type SoakRequest,
+  type SoakResponse,
+} from './soak-callers.js'
 
 export interface SoakOptions {
   readonly seed: number
@@ -27,18 +43,18 @@
   readonly answers: Readonly<Record<string, number>>
   /** What went wrong; empty when all checks passed. */
   readonly violations: readonly string[]
+  /** Failures of an earlier attempt that callers got although a later one succeeded, whose answer was lost. */
+  readonly earlierFailures: readonly string[]
+  /** What the daemons wrote, one line each that begins with the name of the daemon; only if there are violations. */
+  readonly log: readonly string[]
 }
 
-interface SoakResponse {
-  readonly requestId: string
-  readonly path: string
-  /** The HTTP status; 0 when there was no complete response before the connection or the waiting time ended. */
-  readonly status: number
-  readonly body: string
-}
-
-const callerCount = 6
+const agentCallerCount = 6
 const pauseBetweenRequestsMs = 15
+/** Requests that a caller sends at once on a connection, at most. */
+const maxPipelined = 4
+/** Most connections to a target in each run: plenty, or so few that requests wait for them. */
+const connectionLimits = [120, 9]
 /** Key hashes, spread over the whole range, that callers request and whose holders are checked. */
 const sampleKeys = Array.from({ length: 32 }, (_, index) => index * 2048 + 7)
 const ownershipCheckIntervalMs = 10
@@ -54,10 +70,24 @@
 /** When all faults have ended, all hosts must be ready and the sample keys held again within this time. */
 const recoveryMs = 20_000
 
+/** Each fault of answers gets one of these shares; most faults are absent at a time. */
+const answerFaultShares = [0, 0, 0, 0.1, 0.4]
+
+interface SoakParts {
+  readonly random: Random
+  readonly cluster: GatewayCluster
+  readonly forwarders: readonly Forwarder[]
+  readonly record: AnswerRecord
+  /** What writes the answers of each target. */
+  readonly answers: readonly FaultyAnswers[]
+}
+
 class Soak {
   readonly #random: Random
   readonly #cluster: GatewayCluster
   readonly #forwarders: readonly Forwarder[]
+  readonly #record: AnswerRecord
+  readonly #answers: readonly FaultyAnswers[]
   readonly #faults: string[] = []
   readonly #violations = new Set<string>()
   readonly #responses: SoakResponse[] = []
@@ -67,18 +97,25 @@
   /** When a paused process was resumed or a link restored for the last time. */
   #lastResumedAtMs = -Infinity
 
-  constructor(random: Random, cluster: GatewayCluster, forwarders: readonly Forwarder[]) {
+  constructor({ random, cluster, forwarders, record, answers }: SoakParts) {
     this.#random = random
     this.#cluster = cluster
     this.#forwarders = forwarders
+    this.#record = record
+    this.#answers = answers
   }
 
   async run({ seed, faults = 8, durationMs = 8000 }: SoakOptions): Promise<SoakReport> {
-    const sending = Array.from({ length: callerCount }, (_, caller) => this.#runCaller(caller))
+    const sending = [
+      ...Array.from({ length: agentCallerCount }, (_, caller) => this.#runAgentCaller(caller)),
+      this.#runRawCaller('1.1'),
+      this.#runRawCaller('1.0'),
+    ]
     const checking = this.#checkOwnership()
     const gapMs = durationMs / faults
     for (let index = 0; index < faults; index += 1) {
       this.#startFault()
+      this.#startAnswerFaults()
       await sleep(this.#random.float() * 2 * gapMs)
     }
     await Promise.all(this.#pendingFaultEnds)
@@ -86,9 +123,41 @@
     this.#stopped = true
     await Promise.all([...sending, checking])
     this.#checkRuns()
+    const earlierFailures = this.#checkAnswers()
     const answers: Record<string, number> = {}
     for (const { status } of this.#responses) answers[status] = (answers[status] ?? 0) + 1
-    return { seed, faults: this.#faults, answers, violations: [...this.#violations] }
+    const violations = [...this.#violations]
+    const log = violations.length === 0 ? [] : this.#logLines()
+    return { seed, faults: this.#faults, answers, violations, earlierFailures, log }
+  }
+
+  /** Starts random faults of the answers of some targets, which replace theirs, and schedules their end. */
+  #startAnswerFaults(): void {
+    const durationMs = 500 + this.#random.integer(maxFaultMs - 500)
+    const shares: AnswerFaultShares = {
+      failed: this.#share(),
+      refused: this.#share(),
+      copied: this.#share(),
+      copiedLate: this.#share(),
+      unframed: this.#share(),
+      brokenOff: this.#share(),
+      segmented: this.#share(),
+      unproven: this.#share(),
+    }
+    const faulty = this.#answers.filter(() => this.#random.float() < 0.6)
+    for (const answers of faulty) answers.shares = shares
+    const named = Object.entries(shares).filter(([, share]) => share > 0)
+    const kinds = named.map(([name, share]) => `${name} ${String(share)}`).join(', ')
+    this.#faults.push(`answers of ${String(faulty.length)} targets (${kinds}) ${String(durationMs)} ms`)
+    this.#pendingFaultEnds.push(
+      sleep(durationMs).then(() => {
+        for (const answers of faulty) if (answers.shares === shares) answers.shares = noAnswerFaults
+      }),
+    )
+  }
+
+  #share(): number {
+    return this.#pick(answerFaultShares)
   }
 
   /** Starts a random fault and schedules its end. */
@@ -161,58 +230,33 @@
     }
   }
 
-  async #runCaller(caller: number): Promise<void> {
+  async #runAgentCaller(caller: number): Promise<void> {
     const agent = new Agent({ keepAlive: caller % 2 === 0 })
     while (!this.#stopped) {
-      const host = this.#pick(this.#cluster.hosts)
-      this.#responses.push(await this.#request(host, agent))
+      const path = this.#random.float() < 0.4 ? ordersPath : notesPath
+      this.#responses.push(await callThroughAgent(this.#nextRequest(path, this.#pickPort()), agent))
       await sleep(pauseBetweenRequestsMs)
     }
     agent.destroy()
   }
 
-  #request(host: GatewayProcess, agent: Agent): Promise<SoakResponse> {
+  async #runRawCaller(version: '1.0' | '1.1'): Promise<void> {
+    while (!this.#stopped) {
+      const port = this.#pickPort()
+      const length = version === '1.0' ? 1 : 1 + this.#random.integer(maxPipelined)
+      const requests = Array.from({ length }, () => this.#nextRequest(notesPath, port))
+      this.#responses.push(...(await callRaw(requests, version)))
+      await sleep(pauseBetweenRequestsMs)
+    }
+  }
+
+  #nextRequest(path: string, port: number): SoakRequest {
     this.#requests += 1
-    const requestId = `r-${String(this.#requests)}`
-    const path = this.#random.float() < 0.4 ? '/orders/1' : '/notes/1'
-    return new Promise((resolve) => {
-      const settle = (status: number, body = ''): void => {
-        clearTimeout(timer)
-        resolve({ requestId, path, status, body })
-      }
-      const outgoing = httpRequest(
-        {
-          host: '127.0.0.1',
-          port: host.port,
-          path,
-          agent,
-          method: path === '/orders/1' ? 'POST' : 'GET',
-          headers: {
-            host: 'shop.example',
-            ...callerHeaders({ requestId, deadlineMs: 2000, key: this.#pick(sampleKeys) }),
-          },
-        },
-        (incoming) => {
-          const chunks: Buffer[] = []
-          incoming.on('data', (chunk: Buffer) => chunks.push(chunk))
-          incoming.on('error', () => {
-            settle(0)
-          })
-          incoming.on('end', () => {
-            if (incoming.complete) settle(incoming.statusCode ?? 0, Buffer.concat(chunks).toString())
-            else settle(0)
-          })
-        },
-      )
-      const timer = setTimeout(() => {
-        outgoing.destroy()
-        settle(0)
-      }, 2500)
-      outgoing.on('error', () => {
-        settle(0)
-      })
-      outgoing.end()
-    })
+    return { requestId: `r-${String(this.#requests)}`, path, key: this.#pick(sampleKeys), port }
+  }
+
+  #pickPort(): number {
+    return this.#pick(this.#cluster.hosts).port
   }
 
   async #checkOwnership(): Promise<void> {
@@ -251,20 +295,47 @@
     for (const [requestId, count] of runs) {
       if (count > 1) this.#violations.add(`${requestId} ran ${String(count)} times`)
     }
-    for (const { options, outputLines } of this.#cluster.hosts) {
+    for (const { options, outputLines } of this.#cluster.processes) {
       const unexpected = outputLines.find((line) => unexpectedErrors.some((event) => line.includes(event)))
       if (unexpected !== undefined) this.#violations.add(`${options.name}: ${unexpected}`)
     }
-    for (const { requestId, path, status, body } of this.#responses) {
-      if (status === 200 && body !== `answer to ${requestId}`)
-        this.#violations.add(`${requestId} got "${body}"`)
+    for (const { requestId, path, status } of this.#responses) {
       const refused = status === 503 || status === 429
-      if (refused && path === '/orders/1' && runs.has(requestId)) {
+      if (refused && path === ordersPath && runs.has(requestId)) {
         this.#violations.add(`${requestId} was refused and ran`)
       }
     }
   }
 
+  /** Returns the failures of an earlier attempt that are no violation, as the success of the later one was lost. */
+  #checkAnswers(): string[] {
+    const lostAttempts = new Set<string>()
+    for (const line of this.#logLines()) {
+      const attempt =
+        /"event":"attempt\.failed".*"requestId":"([^"]+)".*"target":"([^"]+)".*"cause":"([^"]+)"/.exec(line)
+      if (attempt === null) continue
+      const [, requestId = '', target = '', cause = ''] = attempt
+      if (!cause.startsWith('status_')) lostAttempts.add(`${requestId} ${target}`)
+    }
+    const earlierFailures: string[] = []
+    for (const response of this.#responses) {
+      for (const violation of checkAnswer(response, this.#record)) this.#violations.add(violation)
+      const [later] = laterSuccesses(response, this.#record)
+      if (later === undefined) continue
+      const { requestId, status, signature = '' } = response
+      const found = `${requestId} got status ${String(status)} of ${signature}, then ${later.signature} was a success`
+      if (lostAttempts.has(`${requestId} ${later.target}`)) earlierFailures.push(found)
+      else this.#violations.add(`earlier attempt: ${found}`)
+    }
+    return earlierFailures
+  }
+
+  #logLines(): string[] {
+    return this.#cluster.processes.flatMap(({ options, outputLines }) =>
+      outputLines.map((line) => `${options.name} ${line}`),
+    )
+  }
+
   #pick<T>(items: readonly T[]): T {
     const item = this.#random.pick(items)
     if (item === undefined) throw new Error('cannot pick from an empty list')
@@ -277,8 +348,18 @@
 /** Runs the soak test with one seed. The seed determines the order of faults, but not their exact times. */
 export const runSoak = async (options: SoakOptions): Promise<SoakReport> => {
   const forwarders: Forwarder[] = []
+  const random = new Random(options.seed)
+  const record = new AnswerRecord()
+  const answers: FaultyAnswers[] = []
   const cluster = await GatewayCluster.start({
     hosts: options.hosts ?? 3,
+    maxConnections: random.pick(connectionLimits),
+    faultyAnswers: (target) => {
+      // Each target has random numbers of its own, so that the number of requests does not alter the order of faults.
+      const faulty = new FaultyAnswers({ target, record, random: new Random(random.integer(2 ** 31)) })
+      answers.push(faulty)
+      return faulty
+    },
     forwardedAddress: async (target) => {
       const forwarder = await Forwarder.start({ target })
       forwarders.push(forwarder)
@@ -286,7 +367,7 @@
     },
   })
   try {
-    return await new Soak(new Random(options.seed), cluster, forwarders).run(options)
+    return await new Soak({ random, cluster, forwarders, record, answers }).run(options)
   } finally {
     await cluster.stop()
     await Promise.all(forwarders.map((forwarder) => forwarder.close()))
