--- a/packages/standins/src/answer-checks.ts
+++ b/packages/standins/src/answer-checks.ts
@@ -17,6 +17,16 @@
 const describe = ({ target, status, form, body, signature }: WrittenAnswer): string =>
   `${signature} of ${target} (${String(status)}, ${form}, ${String(body.length)} bytes)`
 
+/** All answers that targets wrote for a request, each with its time before the caller got an answer. */
+export const describeWritten = (
+  { requestId, receivedAtMs }: Pick<SoakResponse, 'requestId' | 'receivedAtMs'>,
+  record: AnswerRecord,
+): string =>
+  record
+    .ofRequest(requestId)
+    .map((answer) => `${describe(answer)} ${(receivedAtMs - answer.writtenAtMs).toFixed(1)} ms before`)
+    .join('; ')
+
 const isSuccess = (status: number): boolean => status >= 200 && status < 300
 
 /** Why the answer breaks a rule, one text each; empty when it breaks none. */
--- a/packages/standins/src/gateway-soak.ts
+++ b/packages/standins/src/gateway-soak.ts
@@ -17,7 +17,7 @@
   noAnswerFaults,
   type AnswerFaultShares,
 } from '@pimentotally/platform/testing'
-import { checkAnswer, laterSuccesses } from './answer-checks.js'
+import { checkAnswer, describeWritten, laterSuccesses } from './answer-checks.js'
 import { Forwarder } from './forwarder.js'
 import { GatewayCluster } from './gateway-cluster.js'
 import {
@@ -323,7 +323,8 @@
       const [later] = laterSuccesses(response, this.#record)
       if (later === undefined) continue
       const { requestId, status, signature = '' } = response
-      const found = `${requestId} got status ${String(status)} of ${signature}, then ${later.signature} was a success`
+      const written = describeWritten(response, this.#record)
+      const found = `${requestId} got status ${String(status)} of ${signature}; the targets wrote ${written}`
       if (lostAttempts.has(`${requestId} ${later.target}`)) earlierFailures.push(found)
       else this.#violations.add(`earlier attempt: ${found}`)
     }
