Reset connections whose end is being sent without leaking them

A script of 15 lines shows the cause: resetAndDestroy() while the shutdown of the same socket is pending fails with EINVAL; Node then takes the handle for closed, never closes it, and waits for it at the exit without pause (3 of 3 orders in the same turn of the event loop; none when the reset comes one turn later).

resetConnection waits for the end of that shutdown. Not changed here: HttpClient and the tests of the gateway that call resetAndDestroy().

--- a/packages/standins/src/forwarder.ts
+++ b/packages/standins/src/forwarder.ts
@@ -4,7 +4,7 @@
  */
 import { createServer as createHttpServer, type Server as HttpServer } from 'node:http'
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
-import { splitAddress } from '@pimentotally/http'
+import { resetConnection, splitAddress } from '@pimentotally/http'
 
 export interface ForwarderOptions {
   /** IP address and port to which connections are forwarded. */
@@ -94,8 +94,8 @@
   cutAll(): void {
     this.#refusing = true
     for (const { source, target } of this.#links) {
-      source.resetAndDestroy()
-      target.resetAndDestroy()
+      resetConnection(source)
+      resetConnection(target)
     }
   }
 
@@ -149,7 +149,7 @@
 
   #open(source: Socket): void {
     if (this.#refusing) {
-      source.resetAndDestroy()
+      resetConnection(source)
       return
     }
     const target = connect({ ...splitAddress(this.#target), allowHalfOpen: true, noDelay: true })
@@ -174,12 +174,12 @@
     from.on('end', () => {
       if (isDropped()) return
       // Node reports an end for some reset connections; such a one has no remote port any more.
-      if (from.remotePort === undefined) to.resetAndDestroy()
+      if (from.remotePort === undefined) resetConnection(to)
       else to.end()
     })
     // A reset is passed on as one: after an end, a response without a length would look complete.
     from.on('error', () => {
-      if (!isDropped()) to.resetAndDestroy()
+      if (!isDropped()) resetConnection(to)
     })
     from.on('close', (hadError) => {
       // Without an error both directions have ended in order, and `to` may still have bytes to send.
