--- a/packages/standins/src/answer-checks.test.ts
+++ b/packages/standins/src/answer-checks.test.ts
@@ -18,6 +18,7 @@
 })
 
 const received = (fields: Partial<SoakResponse> = {}): SoakResponse => ({
+  caller: 'agent',
   requestId: 'r-1',
   path: '/notes/1',
   status: 200,
--- a/packages/standins/src/answer-checks.ts
+++ b/packages/standins/src/answer-checks.ts
@@ -31,9 +31,9 @@
 
 /** Why the answer breaks a rule, one text each; empty when it breaks none. */
 export const checkAnswer = (response: SoakResponse, record: AnswerRecord): readonly string[] => {
-  const { requestId, status, echoedId, signature, isEncoded, body, unasked } = response
+  const { caller, requestId, status, echoedId, signature, isEncoded, body, unasked } = response
   if (status === 0) return []
-  const got = `${requestId} got status ${String(status)}`
+  const got = `${requestId} (${caller}) got status ${String(status)}`
   const found: string[] = []
   if (unasked !== undefined) found.push(`${got} and further bytes behind it: ${quote(unasked)}`)
   if (echoedId !== undefined && echoedId !== requestId) {
--- a/packages/standins/src/soak-callers.ts
+++ b/packages/standins/src/soak-callers.ts
@@ -14,6 +14,7 @@
 }
 
 export interface SoakResponse extends AnswerFieldsRead {
+  readonly caller: 'agent' | 'HTTP/1.0' | 'HTTP/1.1'
   readonly requestId: string
   readonly path: string
   /** The HTTP status; 0 when there was no complete response before the connection or the waiting time ended. */
@@ -45,7 +46,7 @@
     const { requestId, path, port } = sent
     const settle = (status: number, fields = noFields, body = ''): void => {
       clearTimeout(timer)
-      resolve({ requestId, path, status, ...fields, body, receivedAtMs: performance.now() })
+      resolve({ caller: 'agent', requestId, path, status, ...fields, body, receivedAtMs: performance.now() })
     }
     const outgoing = httpRequest(
       {
@@ -101,6 +102,7 @@
   return sent.map(({ requestId, path }, index) => {
     const answer = answers[index]
     return {
+      caller: `HTTP/${version}`,
       requestId,
       path,
       status: answer?.status ?? 0,
