Keep the rest of a forwarded response when its connection fails

What callers saw: a large response in chunks with its last part missing and a proper end, so that it looked complete (70,000 of 85,536 bytes); with a length, a connection that stays open and takes the next answer for the rest of the body. Cause: a large response may have arrived completely while its rest waits for a slow caller. When its connection then fails (a reset, or bytes behind the response that are none, such as those of a second answer), the exchange destroyed Node's request, which discards what waits and reports the end of a response that it knows to be complete. Class: the end of a response is judged in two places that do not agree. Change: once the response is being forwarded, a failure closes its connection only; what has arrived is delivered, and a response that is not complete is still broken off.

--- a/packages/gateway/src/target-exchange.ts
+++ b/packages/gateway/src/target-exchange.ts
@@ -362,8 +362,10 @@
 
   #settleLost(reason: LostReason): void {
     const isDiscarded = reason !== 'reset' && reason !== 'truncated'
+    const wasSettled = this.#settled
     this.#settle({ kind: 'lost', reason, discarded: isDiscarded ? this.#describeDiscarded() : undefined })
-    this.#request.destroy()
+    // Node's request would discard the part of a forwarded response that waits for its caller, and report its end.
+    if (!wasSettled) this.#request.destroy()
     this.#socket?.destroy()
   }
 
--- a/scripts/check-defences.mjs
+++ b/scripts/check-defences.mjs
@@ -4,7 +4,7 @@
 // target/ and runs the tests of its suite against that copy. Prints a table of the results. Fails when a change
 // does not apply, when tests fail on the unchanged copy, or when the random tests pass without a defence that
 // they reach and that has no second one behind it. Build first. Arguments narrow the run to rows whose name
-// contains one of them; the unchanged copies always run.
+// contains one of them, and the unchanged copies to the suites of these.
 import { execFile } from 'node:child_process'
 import { cpSync, mkdirSync, readFileSync, rmSync, symlinkSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
@@ -348,9 +348,11 @@
   })
 
 const wanted = process.argv.slice(2)
+const isWanted = ({ name, changes }) =>
+  changes.length > 0 && (wanted.length === 0 || wanted.some((part) => name.includes(part)))
+const wantedSuites = new Set(defences.filter(isWanted).map(({ tests }) => tests))
 const rows = defences.filter(
-  ({ name, changes }) =>
-    changes.length === 0 || wanted.length === 0 || wanted.some((part) => name.includes(part)),
+  (row) => isWanted(row) || (row.changes.length === 0 && wantedSuites.has(row.tests)),
 )
 rows.forEach((row, index) => copy(row, join(root, String(index))))
 
