Give a caller an answer when its target switches protocols

What callers saw: 504 at their deadline after a response with status 101, which left the request pending. Change: it is a malformed response. Also: the exchange uses the shared waitForCleanClose, resets go through resetConnection (a reset while the end is being sent leaks the connection), and reusedSocket, which is right now, replaces the agent's second record of uses.

--- a/packages/gateway/src/malformed-heads.test.ts
+++ b/packages/gateway/src/malformed-heads.test.ts
@@ -55,6 +55,19 @@
   )
 }
 
+test(
+  'a switch to another protocol does not leave its caller without an answer',
+  { timeout: timeoutMs },
+  async (t) => {
+    const target = await startRawTarget(t, 'a', (socket) =>
+      socket.write('HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n'),
+    )
+    const gateway = await TestGateway.start(t, [target])
+    const { status, body } = await gateway.call('/orders/1', { method: 'POST', body: 'x' })
+    assert.deepEqual([status, JSON.parse(body)], [502, { code: 'malformed', outcome: 'unknown' }])
+  },
+)
+
 /** Changes one byte of the head. */
 const mutate = (response: string, random: Random): string => {
   const headBytes = response.indexOf('\r\n\r\n') + 4
--- a/packages/gateway/src/proxied-request.ts
+++ b/packages/gateway/src/proxied-request.ts
@@ -4,7 +4,7 @@
  * target, or when every target that received it stated that it has not run it. For a request that must not be
  * repeated, a target's response is not forwarded either if only its status would tell the caller so.
  */
-import { endToEndHeaders } from '@pimentotally/http'
+import { breakOffResponse, endToEndHeaders } from '@pimentotally/http'
 import { replacedTargetHeaders, isLeaving, isMisdirected, targetHeaders } from '@pimentotally/platform'
 import {
   CrashVerdict,
@@ -173,7 +173,7 @@
     } else if (!response.headersSent) {
       sendGeneratedResponse(response, { status: 502, code: 'unexpected_error', requestId })
     } else if (!response.writableEnded) {
-      response.destroy()
+      breakOffResponse(response)
     }
   }
 
--- a/packages/gateway/src/target-exchange.ts
+++ b/packages/gateway/src/target-exchange.ts
@@ -12,6 +12,7 @@
 import type { Socket } from 'node:net'
 import {
   splitAddress,
+  waitForCleanClose,
   type ConnectionHistory,
   type KeepAliveAgent,
   type KeepAliveRequestOptions,
@@ -179,6 +180,10 @@
       this.#interimResponses += 1
       if (this.#interimResponses > maxInterimResponses) this.#settleLost('malformed')
     })
+    // Nobody asked for another protocol; without a listener, Node would leave the request pending.
+    this.#request.on('upgrade', () => {
+      this.#settleLost('malformed')
+    })
     this.#request.on('response', (response) => this.#receiveResponse(response))
     this.#request.on('error', (error: NodeJS.ErrnoException) => this.#handleError(error))
   }
@@ -253,7 +258,8 @@
     const carriedIds = socket && this.#options.agent.historyOf(socket).exchangeIds
     const scanner = new EmbeddedResponseScanner(carriedIds ?? new Set([this.#options.requestId]))
     const hasFraming = isFramed(incoming, this.#options.method)
-    const endsCleanly = hasFraming ? Promise.resolve(true) : this.#waitForCleanClose()
+    const endsCleanly =
+      hasFraming || socket === undefined ? Promise.resolve(hasFraming) : waitForCleanClose(socket)
     const settleResponse = (complete: boolean): void => {
       // A target that responds before it has read the whole request may read the rest later, so the
       // connection must not be used for another request.
@@ -328,28 +334,6 @@
     incoming.on('data', onData).once('end', onEnd).once('aborted', onFailure).once('close', onFailure)
   }
 
-  /**
-   * Resolves to whether the connection is closed rather than reset. For a body that ends with its connection,
-   * this tells a complete body from a truncated one. Node reports an end for some reset connections as well;
-   * at that moment a reset connection has no remote port any more, while a closed one still has.
-   */
-  #waitForCleanClose(): Promise<boolean> {
-    const socket = this.#socket
-    return new Promise((resolve) => {
-      if (socket === undefined || socket.closed) {
-        resolve(false)
-        return
-      }
-      let hasRemotePort = false
-      socket.prependOnceListener('end', () => {
-        hasRemotePort = socket.remotePort !== undefined
-      })
-      socket.once('close', (hadError) => {
-        resolve(hasRemotePort && !hadError)
-      })
-    })
-  }
-
   #handleError(error: NodeJS.ErrnoException): void {
     if (!this.#sent) {
       this.#settle({ kind: 'not_sent', reason: NotSentReason.connect, message: error.message })
--- a/packages/http/src/break-off.ts
+++ b/packages/http/src/break-off.ts
@@ -1,5 +1,6 @@
 /** Ends responses whose rest will not follow, so that they do not look complete. */
 import type { ServerResponse } from 'node:http'
+import { resetConnection } from './reset-connection.js'
 
 /**
  * Closes the connection of a response that cannot be completed. A caller that takes no chunks, as with HTTP/1.0,
@@ -8,6 +9,6 @@
  */
 export const breakOffResponse = (response: ServerResponse): void => {
   const readsToEnd = response.headersSent && response.req.httpVersion !== '1.1' && !response.chunkedEncoding
-  if (readsToEnd && response.socket !== null) response.socket.resetAndDestroy()
+  if (readsToEnd && response.socket !== null) resetConnection(response.socket)
   else response.destroy()
 }
--- a/packages/http/src/http-client.ts
+++ b/packages/http/src/http-client.ts
@@ -9,6 +9,7 @@
 import { Result } from 'true-myth'
 import { waitForCleanClose } from './clean-close.js'
 import { KeepAliveAgent } from './keep-alive-agent.js'
+import { resetConnection } from './reset-connection.js'
 
 export interface HttpCallSpec {
   /** Names the call in errors, for example `grant.renew`. */
@@ -139,7 +140,7 @@
       }
       const timer = setTimeout(() => {
         fail('timed_out', `no response within ${String(Math.round(timeoutMs))} ms`)
-        if (socket?.connecting === false) socket.resetAndDestroy()
+        if (socket?.connecting === false) resetConnection(socket)
         outgoing.destroy()
         this.dropIdle(address)
       }, timeoutMs)
@@ -156,8 +157,7 @@
       })
       outgoing.once('socket', (opened) => {
         socket = opened
-        // Node's `reusedSocket` is false for a call that waited for the connection.
-        reused = agent?.recordUse(opened) ?? false
+        reused = outgoing.reusedSocket
         const { bytesRead: bytesBefore } = opened
         const maxBytes = this.#options.maxResponseBytes + maxFramingBytes
         const checkBytes = (): void => {
--- a/packages/http/src/keep-alive-agent.ts
+++ b/packages/http/src/keep-alive-agent.ts
@@ -88,7 +88,6 @@
   readonly #openSockets = new Set<Duplex>()
   /** Requests without a connection, in the order of their arrival. */
   readonly #waiting: WaitingRequest[] = []
-  readonly #used = new WeakSet<Duplex>()
   #lastSerial = 0
   /** Connections with a serial up to and including this one are not reused. */
   #retiredSerial = 0
@@ -166,13 +165,6 @@
     return this.#connectionOf(socket)
   }
 
-  /** Records that a request uses the connection; returns whether an earlier request has used it. */
-  recordUse(socket: Duplex): boolean {
-    const reused = this.#used.has(socket)
-    this.#used.add(socket)
-    return reused
-  }
-
   /** Closes idle connections as old as this one or older; those in use are closed after their request. */
   dropOlder(socket: Socket): void {
     this.#retiredSerial = Math.max(this.#retiredSerial, this.#connectionOf(socket).serial)
--- a/packages/proxy/src/exchange.ts
+++ b/packages/proxy/src/exchange.ts
@@ -163,7 +163,7 @@
       this.#request.destroy()
       return
     }
-    this.#reused = this.#spec.endpoint.agent.recordUse(socket)
+    this.#reused = this.#request.reusedSocket
     if (!this.#listener.maySend()) {
       this.#settle({ kind: 'notSent', reason: 'notUsable' })
       this.#request.destroy()
