Send no grants after a return of the store by an assignment that only the lost history has

Callers saw (in the simulation): two targets held the same keys, when a leader went on after a return, could store its lease but not its assignment, and ended after 14 s; a host that had started after the return, and knew only the copy, then gave keys to the owners of the copy while grants of the former leader lasted.

Cause: any host waits, from its first sight of the new era, until grants under a lease of the earlier era have lapsed. A leader that went on renewed its lease in the new era, and with it sent grants for as long as it led, although its assignment was nowhere in the store. A transaction of all blocks that is too large, or is refused for another reason, is enough.

Change: until the blocks are stored in the present era, grants are sent only within the lease of the earlier era as it was last renewed there. Deciding and storing go on under the lease of the new era, with the same margin as before.

Sole ownership: the change only withholds grants. The lease of the earlier era ends at the latest a lease after the return, which is the bound that the waiting hosts count from; once the blocks are stored, each later leader reads them when its term begins.

--- a/packages/gateway/src/assignment-controller.ts
+++ b/packages/gateway/src/assignment-controller.ts
@@ -132,6 +132,7 @@
         tenure,
         workMs: () => workMs(service),
         remainingMs: () => leadership.remainingMs(tenure.term),
+        unstoredRemainingMs: () => leadership.unstoredRemainingMs(tenure.term),
         mayDecide: () => leadership.isOfPresentEra,
         mayLackRows: () => leadership.mayLackRows,
         // Recorded because the next leader has to wait until the grants of the longest hold time have lapsed.
--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -88,6 +88,8 @@
   readonly #options: LeadershipOptions
   readonly #observed: ObservedLease
   #lease: HeldLease | undefined
+  /** The lease of this tenure in the era before, as it was last renewed there. */
+  #earlierLease: HeldLease | undefined
   #tenure: Tenure | undefined
   /** Version and content of the leader row, as this host last wrote or read it while it leads. */
   #rowVersion = 0
@@ -148,11 +150,22 @@
     return eraOf(this.#rowVersion) === this.#options.directory.routerStateEra
   }
 
-  /** Time for which this host may still send grants under the term; 0 when it does not lead in it. */
+  /** Time for which this host may still act under the term; 0 when it does not lead in it. */
   remainingMs(term: number): number {
     return this.#tenure?.term === term ? this.#remainingMs() : 0
   }
 
+  /**
+   * Time for which this host may still send grants of an assignment that is not stored in the present era. A host
+   * that knows only an older one waits until grants under the lease of the earlier era have lapsed, and not for
+   * later ones.
+   */
+  unstoredRemainingMs(term: number): number {
+    const remainingMs = this.remainingMs(term)
+    if (!this.isOfPresentEra || this.#earlierLease === undefined) return remainingMs
+    return Math.max(0, Math.min(remainingMs, this.#earlierLease.remainingMs(this.#reading())))
+  }
+
   async run(): Promise<void> {
     const { clock } = this.#options
     while (!this.#stopped) {
@@ -269,11 +282,14 @@
     const sentAt = this.#reading()
     const era = directory.routerStateEra
     const record = { ...this.#record, renewal: this.#nextRenewal(), era }
-    const version = this.isOfPresentEra ? this.#rowVersion : this.#storedVersion(era)
+    const { isOfPresentEra } = this
+    const version = isOfPresentEra ? this.#rowVersion : this.#storedVersion(era)
     if (await this.#write(record, version)) {
       const endedMs = -(this.#lease?.remainingMs(this.#reading()) ?? 0)
       if (endedMs > 0) this.#options.logger.info('leader.renewed_late', { term: record.term, endedMs })
-      this.#lease?.recordRenewal(sentAt)
+      if (!isOfPresentEra) this.#earlierLease = this.#lease
+      if (isOfPresentEra) this.#lease?.recordRenewal(sentAt)
+      else this.#lease = new HeldLease(leaseTimes, sentAt)
       this.#lastRenewalMs = sentAt.monotonicMs
     } else {
       this.#retryAtMs = clock.monotonicMs() + retryPauseMs
@@ -310,6 +326,7 @@
   #endTenure(reason: string, successor?: string): void {
     this.#options.logger.info('leader.lost', { term: this.#tenure?.term, reason, successor })
     this.#lease = undefined
+    this.#earlierLease = undefined
     this.#tenure = undefined
     this.#record = undefined
   }
--- a/packages/gateway/src/restored-store-faults.test.ts
+++ b/packages/gateway/src/restored-store-faults.test.ts
@@ -81,3 +81,31 @@
     { seed: 39, numRuns: 16, endOnFailure },
   )
 })
+
+/**
+ * Moves are lost, the leader goes on and cannot store its assignment again, and a host that knows only the copy
+ * takes over.
+ */
+const unstoredAssignment: fc.Arbitrary<readonly Fault[]> = fc
+  .record({
+    forMs: fc.integer({ min: 4500, max: 6500 }),
+    leavesAtMs: fc.integer({ min: 0, max: 1000 }),
+    index: fc.nat(4),
+    replacedAfterMs: fc.integer({ min: 12_000, max: 16_000 }),
+  })
+  .map(({ forMs, leavesAtMs, index, replacedAfterMs }) => [
+    { kind: 'storeRestored', atMs: 0, forMs, index: 0 },
+    // It still runs when the host that knows only the copy leads.
+    { kind: 'drain', atMs: leavesAtMs, forMs: 22_000, index },
+    { kind: 'assignmentsRejected', atMs: forMs, forMs: replacedAfterMs, index: 0 },
+    { kind: 'hostReplacesOthers', atMs: forMs + 200, forMs: replacedAfterMs - 200, index: 0 },
+  ])
+
+test('random returns of the store after which the assignment is not stored again: one owner for each key, and owners again after the faults', async () => {
+  await fc.assert(
+    fc.asyncProperty(fc.nat(1e6), unstoredAssignment, async (seed, faults) => {
+      await assertOwnedUnderFaults(seed, faults, maxEffectMs)
+    }),
+    { seed: 41, numRuns: 16, endOnFailure },
+  )
+})
--- a/packages/gateway/src/restored-store.test.ts
+++ b/packages/gateway/src/restored-store.test.ts
@@ -118,6 +118,22 @@
   assertOwned(simulation)
 })
 
+test('a leader that goes on after the store came back grants nothing more until its assignment is stored again', async () => {
+  for (let seed = 1; seed <= 4; seed += 1) {
+    const simulation = await startSimulation(seed)
+    await loseMoves(simulation, 400)
+    const hosts = [...simulation.hosts]
+    // Knows only the copy, and waits for as long as grants of the earlier era may last.
+    simulation.startHost()
+    simulation.store.rejects = ({ writes }) => writes.some(({ key }) => routerStateKeys.isAssignment(key))
+    await simulation.advance(14_500)
+    for (const host of hosts) host.kill()
+    simulation.store.rejects = () => false
+    await simulation.advance(longestWaitMs)
+    assertOwned(simulation)
+  }
+})
+
 test('two returns of the store within one hold do not give a key to two targets', async () => {
   for (let seed = 1; seed <= 4; seed += 1) {
     const simulation = await startSimulation(seed)
--- a/packages/gateway/src/service-assignment-controller.ts
+++ b/packages/gateway/src/service-assignment-controller.ts
@@ -34,7 +34,7 @@
 import { FormerOwners } from './former-owners.js'
 import { routerStateKeys } from './router-state-rows.js'
 import { RangeMoves } from './range-moves.js'
-import { TargetGrants, type TargetGrantsOptions } from './target-grants.js'
+import { TargetGrants, minRemainingMs, type TargetGrantsOptions } from './target-grants.js'
 
 /**
  * Interval between two rounds of balancing. Hosts report load almost three times a second, and a decision has
@@ -81,6 +81,8 @@
   readonly requestLimit: (target: KnownTarget) => number | undefined
   /** Called when a decision was stored, so that other hosts learn of it. */
   readonly stored: () => void
+  /** Time for which this host may still send grants while the assignment is not stored in the present era. */
+  readonly unstoredRemainingMs: () => number
   /** Whether the lease is written in the present era of the store, so that decisions may be. */
   readonly mayDecide: () => boolean
   /** Whether an assignment that is absent may be lost, as the store may have come back from an older copy. */
@@ -127,13 +129,14 @@
    */
   #isComplete = false
   #isDeciding = false
+  #isClosed = false
   #balancedAtMs = 0
   /** For the first assignment: when a usable target was first seen, and when their number last changed. */
   #gathering: { readonly sinceMs: number; readonly changedAtMs: number; readonly count: number } | undefined
 
   constructor(options: ServiceAssignmentControllerOptions) {
     this.#options = options
-    this.#grants = new TargetGrants(options)
+    this.#grants = new TargetGrants({ ...options, remainingMs: () => this.#grantingMs() })
     this.#formerOwners = new FormerOwners({
       ...options,
       grants: this.#grants,
@@ -164,13 +167,28 @@
 
   /** No grant is sent after this call. */
   close(): void {
+    this.#isClosed = true
     this.#grants.close()
   }
 
+  get #mayAct(): boolean {
+    return !this.#isClosed && this.#options.remainingMs() > minRemainingMs
+  }
+
+  /**
+   * Time for which grants may be sent. The assignment may have been read in a later era than it was decided in,
+   * so the directory says whether it is stored in the present one.
+   */
+  #grantingMs(): number {
+    const { directory, service, remainingMs, unstoredRemainingMs } = this.#options
+    const isStored = directory.assignment(service)?.isOfPresentEra === true
+    return isStored ? remainingMs() : unstoredRemainingMs()
+  }
+
   /** Called several times a second. Does not wait for the store, so that a slow store delays no renewals. */
   tick(): void {
     const { directory, service } = this.#options
-    if (!this.#grants.mayGrant) return
+    if (!this.#mayAct) return
     this.#adoptStored()
     if (this.#mayHaveLostDecisions()) return
     this.#formerOwners.recordAddresses(directory.targets(service))
@@ -236,7 +254,7 @@
   /** Starts a decision, unless one is in progress. */
   #decide(): void {
     const { mayDecide, directory } = this.#options
-    if (this.#isDeciding || !this.#grants.mayGrant || !mayDecide()) return
+    if (this.#isDeciding || !this.#mayAct || !mayDecide()) return
     this.#isDeciding = true
     const firstFence = firstFenceOf(directory.routerStateEra)
     const decided =
--- a/packages/gateway/src/target-grants.ts
+++ b/packages/gateway/src/target-grants.ts
@@ -37,7 +37,7 @@
  * With less than this left of the lease, no grant is sent: it must be written to its socket before the lease
  * ends.
  */
-const minRemainingMs = 50
+export const minRemainingMs = 50
 
 export interface TargetGrantsOptions {
   readonly service: string
--- a/packages/gateway/src/testing-faults.ts
+++ b/packages/gateway/src/testing-faults.ts
@@ -85,6 +85,21 @@
   }
 }
 
+/** Assignments cannot be stored, while the lease can. */
+const assignmentsRejected: StartFault = ({ store }) => {
+  store.rejects = ({ writes }) => writes.some(({ key }) => routerStateKeys.isAssignment(key))
+  return () => (store.rejects = () => false)
+}
+
+/** A host starts, and all others end at once when the fault ends. */
+const hostReplacesOthers: StartFault = (simulation) => {
+  const others = [...simulation.hosts]
+  simulation.startHost()
+  return () => {
+    for (const host of others) host.kill()
+  }
+}
+
 /** All host processes end and new ones start, which know only what the store has. */
 const restartHosts: StartFault = (simulation) => {
   simulation.restartHosts()
@@ -465,6 +480,8 @@
   storeDown,
   storeRestored,
   storeRestoredToStart,
+  assignmentsRejected,
+  hostReplacesOthers,
   restartHosts,
   leaderRefused,
   writesLost,
--- a/packages/gateway/src/testing-store.ts
+++ b/packages/gateway/src/testing-store.ts
@@ -38,6 +38,8 @@
   workMs = 0
   /** Bound of a random time that is added to each call; each call then takes effect at a random moment. */
   jitterMs = 0
+  /** Whether a transaction fails with a conflict, whatever its conditions. */
+  rejects: (transaction: RowTransaction) => boolean = () => false
   /** Rises each time the store comes back from an older copy. */
   era = firstEra
 
@@ -50,6 +52,10 @@
     return new Promise((resolve) => this.#time.schedule(delayMs, resolve))
   }
 
+  override commit(transaction: RowTransaction): number | undefined {
+    return this.rejects(transaction) ? undefined : super.commit(transaction)
+  }
+
   override restore(copy: MemoryRowStoreCopy): void {
     super.restore(copy)
     this.era += 1
--- a/scripts/check-defences.mjs
+++ b/scripts/check-defences.mjs
@@ -186,6 +186,16 @@
     name: 'a copy without any assignment counts as a first start',
     changes: [[gateway('leadership'), '|| this.#options.directory.routerStateEra > firstEra', '']],
   },
+  {
+    name: 'a leader that goes on after a return grants by an assignment that is not stored again',
+    changes: [
+      [
+        gateway('service-assignment-controller'),
+        'return isStored ? remainingMs() : unstoredRemainingMs();',
+        'return remainingMs();',
+      ],
+    ],
+  },
   {
     name: 'owners of an older copy get their keys under the fences of the copy',
     changes: [
