Tell the lease of an earlier era by its last renewal

A renewal in the new era may take effect without a response, and be seen only as the condition of the next one. The lease then seemed to have been of the new era from the beginning, and grants were not bound to the one before. Found by reading; no test reaches it by itself, as it needs two lost writes within one lease. Sole ownership: the bound now holds in this case too.

--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -88,6 +88,8 @@
   readonly #options: LeadershipOptions
   readonly #observed: ObservedLease
   #lease: HeldLease | undefined
+  /** The era in which the lease was last renewed. */
+  #leaseEra = 0
   /** The lease of this tenure in the era before, as it was last renewed there. */
   #earlierLease: HeldLease | undefined
   #tenure: Tenure | undefined
@@ -162,7 +164,8 @@
    */
   unstoredRemainingMs(term: number): number {
     const remainingMs = this.remainingMs(term)
-    if (!this.isOfPresentEra || this.#earlierLease === undefined) return remainingMs
+    if (this.#earlierLease === undefined) return remainingMs
+    if (this.#leaseEra !== this.#options.directory.routerStateEra) return remainingMs
     return Math.max(0, Math.min(remainingMs, this.#earlierLease.remainingMs(this.#reading())))
   }
 
@@ -246,6 +249,7 @@
     const sentAt = this.#reading()
     if (!(await this.#write(record, this.#storedVersion(era)))) return
     this.#lease = new HeldLease(leaseTimes, sentAt)
+    this.#leaseEra = era
     this.#lastRenewalMs = sentAt.monotonicMs
     const predecessor = predecessorOf(seen?.record, era)
     if (predecessor === 'lapsed') this.recordLongGrants()
@@ -282,20 +286,25 @@
     const sentAt = this.#reading()
     const era = directory.routerStateEra
     const record = { ...this.#record, renewal: this.#nextRenewal(), era }
-    const { isOfPresentEra } = this
-    const version = isOfPresentEra ? this.#rowVersion : this.#storedVersion(era)
+    const version = this.isOfPresentEra ? this.#rowVersion : this.#storedVersion(era)
     if (await this.#write(record, version)) {
       const endedMs = -(this.#lease?.remainingMs(this.#reading()) ?? 0)
       if (endedMs > 0) this.#options.logger.info('leader.renewed_late', { term: record.term, endedMs })
-      if (!isOfPresentEra) this.#earlierLease = this.#lease
-      if (isOfPresentEra) this.#lease?.recordRenewal(sentAt)
-      else this.#lease = new HeldLease(leaseTimes, sentAt)
+      if (era === this.#leaseEra) this.#lease?.recordRenewal(sentAt)
+      else this.#beginLeaseOf(era, sentAt)
       this.#lastRenewalMs = sentAt.monotonicMs
     } else {
       this.#retryAtMs = clock.monotonicMs() + retryPauseMs
     }
   }
 
+  /** The renewal, and not the version of the row, counts: an earlier write may have taken effect unnoticed. */
+  #beginLeaseOf(era: number, sentAt: ClockReading): void {
+    this.#earlierLease = this.#lease
+    this.#lease = new HeldLease(leaseTimes, sentAt)
+    this.#leaseEra = era
+  }
+
   /** The version of the row `leader` in this era, as a condition for its next write. */
   #storedVersion(era: number): number {
     return this.#options.directory.storedLeader?.version ?? absentIn(era)
