--- a/packages/gateway/src/testing-simulation.ts
+++ b/packages/gateway/src/testing-simulation.ts
@@ -21,7 +21,7 @@
   type TargetAddress,
 } from '@pimentotally/assignment'
 import { TargetState } from '@pimentotally/routing'
-import type { MemoryRowStoreCopy, RowTransaction, StoredRow } from '@pimentotally/storage'
+import { firstEra, type MemoryRowStoreCopy, type RowTransaction, type StoredRow } from '@pimentotally/storage'
 import { storeTables } from '@pimentotally/platform'
 import { configurationRow, targetRow } from '@pimentotally/platform/testing'
 import { Directory } from './directory.js'
@@ -318,6 +318,7 @@
   constructor({ seed, hosts = 3, targets = 6, logger = new SilentLogger() }: OwnershipSimulationOptions) {
     this.#logger = logger
     this.random = new Random(seed)
+    this.store.era = firstEra
     this.targets = Array.from(
       { length: targets },
       (_, index) => new SimulatedTarget(`t${String(index)}`, index),
--- a/packages/gateway/src/testing-store.ts
+++ b/packages/gateway/src/testing-store.ts
@@ -10,7 +10,6 @@
   MemoryRowStore,
   RowStore,
   eraOf,
-  firstEra,
   packPosition,
   versionOf,
   type MemoryRowStoreCopy,
@@ -41,7 +40,7 @@
   /** Whether a transaction fails with a conflict, whatever its conditions. */
   rejects: (transaction: RowTransaction) => boolean = () => false
   /** Rises each time the store comes back from an older copy. */
-  era = firstEra
+  era = 0
 
   constructor(time: VirtualTime) {
     super()
