Tell a lost success from a copy that was taken for an answer

The soak listed the failure of an earlier attempt as explained when any later attempt had been lost. It is now explained only if the daemon received no more failures than the target wrote.

--- a/packages/standins/src/answer-checks.test.ts
+++ b/packages/standins/src/answer-checks.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { AnswerRecord, type WrittenAnswer } from '@pimentotally/platform/testing'
-import { checkAnswer, laterSuccesses } from './answer-checks.js'
+import { FailedAttempts, checkAnswer, laterSuccesses } from './answer-checks.js'
 import { readAnswers } from './raw-answers.js'
 import type { SoakResponse } from './soak-callers.js'
 
@@ -85,6 +85,23 @@
   assert.deepEqual(signaturesOf(written('too late', { writtenAtMs: 30 })), [])
 })
 
+test('the soak accepts the failure of an earlier attempt only if the log shows that the later success was lost', () => {
+  const later = written('later')
+  const answers = recordOf(written('failed', { status: 500 }), later)
+  const explained = (...causes: readonly string[]): boolean =>
+    new FailedAttempts(
+      causes.map(
+        (cause) =>
+          `{"event":"attempt.failed","requestId":"r-1","service":"notes","target":"notes-0","cause":"${cause}"}`,
+      ),
+    ).explain(later, answers)
+  assert.equal(explained('status_500', 'reset'), true)
+  assert.equal(explained('status_500'), false)
+  assert.equal(explained('status_500', 'status_500'), false)
+  // The second attempt got a copy; only the third one was lost.
+  assert.equal(explained('status_500', 'status_500', 'reset'), false)
+})
+
 test('a caller that reads its socket takes no incomplete answer for a whole one, and keeps what follows', () => {
   const framed = 'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody'
   const chunked = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n'
--- a/packages/standins/src/answer-checks.ts
+++ b/packages/standins/src/answer-checks.ts
@@ -77,3 +77,35 @@
         later.writtenAtMs < receivedAtMs,
     )
 }
+
+/** The attempts of requests that a gateway has logged as failed. */
+export class FailedAttempts {
+  /** The causes of each request's failures at each target. */
+  readonly #causes = new Map<string, string[]>()
+
+  constructor(logLines: readonly string[]) {
+    const pattern = /"event":"attempt\.failed".*"requestId":"([^"]+)".*"target":"([^"]+)".*"cause":"([^"]+)"/
+    for (const line of logLines) {
+      const [, requestId = '', target = '', cause] = pattern.exec(line) ?? []
+      if (cause === undefined) continue
+      const key = `${requestId} ${target}`
+      this.#causes.set(key, [...(this.#causes.get(key) ?? []), cause])
+    }
+  }
+
+  /**
+   * Whether the caller got the failure of an earlier attempt because the success of the later one was lost: an attempt
+   * ended without a response, and the gateway received no more failures than the target wrote. If it received more, it
+   * took a copy for the answer to another attempt.
+   */
+  explain({ requestId, target }: WrittenAnswer, record: AnswerRecord): boolean {
+    const causes = this.#causes.get(`${requestId} ${target}`) ?? []
+    const received = causes.filter((cause) => cause.startsWith('status_')).length
+    const written = record
+      .ofRequest(requestId)
+      .filter(
+        (answer) => answer.target === target && !isSuccess(answer.status) && answer.form !== 'brokenOff',
+      )
+    return received < causes.length && received <= written.length
+  }
+}
--- a/packages/standins/src/gateway-soak.ts
+++ b/packages/standins/src/gateway-soak.ts
@@ -17,7 +17,7 @@
   noAnswerFaults,
   type AnswerFaultShares,
 } from '@pimentotally/platform/testing'
-import { checkAnswer, describeWritten, laterSuccesses } from './answer-checks.js'
+import { FailedAttempts, checkAnswer, describeWritten, laterSuccesses } from './answer-checks.js'
 import { Forwarder } from './forwarder.js'
 import { GatewayCluster } from './gateway-cluster.js'
 import {
@@ -309,14 +309,7 @@
 
   /** Returns the failures of an earlier attempt that are no violation, as the success of the later one was lost. */
   #checkAnswers(): string[] {
-    const lostAttempts = new Set<string>()
-    for (const line of this.#logLines()) {
-      const attempt =
-        /"event":"attempt\.failed".*"requestId":"([^"]+)".*"target":"([^"]+)".*"cause":"([^"]+)"/.exec(line)
-      if (attempt === null) continue
-      const [, requestId = '', target = '', cause = ''] = attempt
-      if (!cause.startsWith('status_')) lostAttempts.add(`${requestId} ${target}`)
-    }
+    const attempts = new FailedAttempts(this.#logLines())
     const earlierFailures: string[] = []
     for (const response of this.#responses) {
       for (const violation of checkAnswer(response, this.#record)) this.#violations.add(violation)
@@ -325,7 +318,7 @@
       const { requestId, status, signature = '' } = response
       const written = describeWritten(response, this.#record)
       const found = `${requestId} got status ${String(status)} of ${signature}; the targets wrote ${written}`
-      if (lostAttempts.has(`${requestId} ${later.target}`)) earlierFailures.push(found)
+      if (attempts.explain(later, this.#record)) earlierFailures.push(found)
       else this.#violations.add(`earlier attempt: ${found}`)
     }
     return earlierFailures
