--- a/packages/gateway/src/embedded-response.test.ts
+++ b/packages/gateway/src/embedded-response.test.ts
@@ -78,11 +78,14 @@
   assert.equal(scanner.push(Buffer.from('HTTP/1.1 200 OK\r\n'))?.length, 0)
   let passed = 0
   for (let index = 0; index < 50; index += 1) passed += scanner.push(part)?.length ?? 0
-  assert.ok(50 * part.length - passed <= 16 * 1024)
+  assert.ok(50 * part.length - passed <= 2 * 1024)
 })
 
 test('a body full of status lines takes no longer than its bytes justify', { timeout: 20_000 }, () => {
   const scanner = new EmbeddedResponseScanner(carriedIds)
-  const part = Buffer.from('HTTP/1.1 200 OK\r\n'.repeat(4000))
-  for (let index = 0; index < 200; index += 1) assert.notEqual(scanner.push(part), undefined)
+  for (const line of ['HTTP/1.1 200 OK\r\n', 'x:HTTP/1.1 200 OK\n']) {
+    const part = Buffer.from(line.repeat(4000))
+    for (let index = 0; index < 10; index += 1) assert.notEqual(scanner.push(part), undefined)
+  }
+  for (let index = 0; index < 20_000; index += 1) assert.notEqual(scanner.push(Buffer.from('x')), undefined)
 })
--- a/packages/gateway/src/embedded-response.ts
+++ b/packages/gateway/src/embedded-response.ts
@@ -9,8 +9,11 @@
 const marker = Buffer.from('HTTP/1.')
 /** The first byte of the marker, as it is searched for alone. */
 const markerByte = 'H'.charCodeAt(0)
-/** A longer head is none that a target sends. Bounds the bytes that are held back while a head is incomplete. */
-const maxHeadBytes = 16 * 1024
+/**
+ * The id is looked for in so many bytes of a head; targets send less. Bounds the bytes that are held back while a head
+ * is incomplete, and the work for bytes that resemble many heads.
+ */
+const maxHeadBytes = 2 * 1024
 const lineFeed = '\n'.charCodeAt(0)
 const statusLine = /^HTTP\/1\.[01] [1-5]\d\d(?: .*)?$/
 const field = /^[!#$%&'*+.^_`|~0-9A-Za-z-]+:/
--- a/packages/gateway/src/second-answers.test.ts
+++ b/packages/gateway/src/second-answers.test.ts
@@ -9,7 +9,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { answerHeaders } from '@pimentotally/platform/testing'
 import { maxBufferedBytes } from './target-exchange.js'
-import { TestGateway, rawHead, startExchange, startRawTarget } from './testing-gateway.js'
+import { TestGateway, rawHead, rawRefusal, startExchange, startRawTarget } from './testing-gateway.js'
 
 /** Bounds each test, so that a request that is never answered fails it. */
 const timeoutMs = 30_000
@@ -225,3 +225,48 @@
     },
   )
 }
+
+test(
+  'a copy of a refusal without an id does not become part of the next body without a length',
+  { timeout: timeoutMs },
+  async (t) => {
+    const target = await startRawTarget(t, 'a', (socket, id, index) => {
+      if (index === 0) {
+        socket.write(rawRefusal(undefined))
+        later(socket, workMs, rawRefusal(undefined))
+      } else {
+        socket.write(unframed(id, 'two'))
+        setTimeout(() => socket.end(), 2 * workMs)
+      }
+    })
+    const gateway = await TestGateway.start(t, [target])
+    const order = { method: 'POST', body: 'x' }
+    assert.equal((await gateway.call('/orders/1', order)).status, 503)
+    assert.equal((await gateway.call('/orders/2', order)).body, 'two')
+  },
+)
+
+test('a success with two signatures reaches no caller', { timeout: timeoutMs }, async (t) => {
+  const target = await startRawTarget(t, 'a', (socket, id) => {
+    const response = framed(id, 'two heads')
+    socket.write(response.replace(/(x-response-signature: )[^\r]*\r\n/i, '$1part\r\n$&'))
+  })
+  const gateway = await TestGateway.start(t, [target])
+  assert.equal((await gateway.call('/notes/1')).status, 502)
+})
+
+for (const end of ['', 'H', 'HTTP/1.1', 'HTTP/1.1 200 OK']) {
+  test(
+    `a large body that ends in "${end}" arrives with its last bytes`,
+    { timeout: timeoutMs },
+    async (t) => {
+      const body = large + end
+      const target = await startRawTarget(t, 'a', (socket, id, index) => {
+        if (index === 0) socket.write(framed(id, body))
+        else socket.end(unframed(id, body))
+      })
+      const gateway = await TestGateway.start(t, [target])
+      for (const path of ['/notes/1', '/notes/2']) assert.equal((await gateway.call(path)).body, body)
+    },
+  )
+}
--- a/packages/gateway/src/target-exchange.ts
+++ b/packages/gateway/src/target-exchange.ts
@@ -11,6 +11,7 @@
 } from 'node:http'
 import type { Socket } from 'node:net'
 import {
+  countHeader,
   splitAddress,
   waitForCleanClose,
   type ConnectionHistory,
@@ -123,10 +124,12 @@
 /**
  * Whether the status and the field names and values are those of an HTTP response that can be forwarded. Node's
  * parser accepts others, such as a name with a space, which cannot be written to the caller, and codings of the
- * transfer other than chunks, whose end it takes for the end of the connection.
+ * transfer other than chunks, whose end it takes for the end of the connection. Two signatures are those of two
+ * responses, one of which was written into the head of the other.
  */
 const isWellFormed = ({ statusCode = 0, headers, rawHeaders }: IncomingMessage): boolean => {
   if (statusCode < 200 || statusCode > 599) return false
+  if (countHeader(rawHeaders, platformHeaders.signature) > 1) return false
   const coding = headers['transfer-encoding']
   if (coding !== undefined && coding.trim().toLowerCase() !== 'chunked') return false
   try {
@@ -261,9 +264,9 @@
     const endsCleanly =
       hasFraming || socket === undefined ? Promise.resolve(hasFraming) : waitForCleanClose(socket)
     const settleResponse = (complete: boolean): void => {
-      // A target that responds before it has read the whole request may read the rest later, so the
-      // connection must not be used for another request.
-      if (complete && !this.#request.writableFinished) this.#socket?.destroy()
+      // A target that responds before it has read the whole request may read the rest later, so the connection must
+      // not be used for another request. Nor after a response without an id, whose copy could not be recognised.
+      if (complete && (!this.#request.writableFinished || isAnonymousRefusal)) this.#socket?.destroy()
       const connection = socket && this.#options.agent.historyOf(socket)
       this.#settle({
         kind: 'response',
--- a/packages/http/src/keep-alive-agent.test.ts
+++ b/packages/http/src/keep-alive-agent.test.ts
@@ -14,7 +14,7 @@
   readonly arrivedOn: Socket[]
   /** Responses that the test has yet to end, in the order of their requests. */
   readonly open: ServerResponse[]
-  readonly send: (exchangeId?: string) => Exchange
+  readonly send: (exchangeId?: string, maxIdleMs?: number) => Exchange
   readonly arrived: (count: number) => Promise<void>
 }
 
@@ -39,8 +39,14 @@
     server.closeAllConnections()
   })
   const { port } = server.address() as AddressInfo
-  const send = (exchangeId?: string): Exchange => {
-    const options: KeepAliveRequestOptions = { agent, host: '127.0.0.1', port, exchangeId }
+  const send = (exchangeId?: string, maxIdleMs?: number): Exchange => {
+    const options: KeepAliveRequestOptions = {
+      agent,
+      host: '127.0.0.1',
+      port,
+      ...(exchangeId === undefined ? {} : { exchangeId }),
+      ...(maxIdleMs === undefined ? {} : { maxIdleMs }),
+    }
     const outgoing = request(options)
     const done = new Promise<string>((resolve) => {
       outgoing.on('response', (incoming) => {
@@ -155,3 +161,29 @@
   assert.equal(await third.done, 'answered')
   assert.ok(arrivedOn.slice(0, 2).includes(arrivedOn[2] as Socket))
 })
+
+test('a connection that was idle for too long is not reused', { timeout: timeoutMs }, async (t) => {
+  const { arrivedOn, open, send, arrived } = await start(t)
+  for (const [index, maxIdleMs] of [undefined, 5000, 0, 1].entries()) {
+    const { done } = send(`r-${String(index)}`, maxIdleMs)
+    await arrived(index + 1)
+    open[index]?.end()
+    assert.equal(await done, 'answered')
+    await new Promise((resolve) => setTimeout(resolve, 20))
+  }
+  assert.equal(arrivedOn[0], arrivedOn[1])
+  assert.equal(new Set(arrivedOn).size, 3)
+})
+
+test('a connection is closed after a number of exchanges', { timeout: timeoutMs }, async (t) => {
+  const { agent, arrivedOn, open, send, arrived } = await start(t)
+  for (let index = 0; index < 300; index += 1) {
+    const { done } = send(`r-${String(index)}`)
+    await arrived(index + 1)
+    open[index]?.end()
+    assert.equal(await done, 'answered')
+    for (const socket of Object.values(agent.sockets).flat())
+      if (socket !== undefined) assert.ok(agent.historyOf(socket).exchangeIds.size <= 250)
+  }
+  assert.equal(new Set(arrivedOn).size, 2)
+})
--- a/packages/http/src/keep-alive-agent.ts
+++ b/packages/http/src/keep-alive-agent.ts
@@ -41,7 +41,7 @@
 }
 
 /** Bounds the memory for the ids that a connection has carried; the connection is closed afterwards. */
-const maxExchangesPerConnection = 1000
+const maxExchangesPerConnection = 250
 
 interface WaitingRequest {
   readonly request: ClientRequest
@@ -187,7 +187,7 @@
         continue
       }
       this.#closeUnusable(options)
-      if (this.#idleSockets().length === 0 && this.#openCount() >= this.#maxConnections) return
+      if (this.#idleSockets().length === 0 && this.#openSockets.size >= this.#maxConnections) return
       this.#waiting.shift()
       addRequest.call(this, request, options)
     }
@@ -211,12 +211,6 @@
     return []
   }
 
-  #openCount(): number {
-    let count = 0
-    for (const { destroyed } of this.#openSockets) if (!destroyed) count += 1
-    return count
-  }
-
   #connectionOf(socket: Duplex): Connection {
     return this.#connections.get(socket) ?? new Connection(0)
   }
