--- a/scripts/check-defences.mjs
+++ b/scripts/check-defences.mjs
@@ -30,7 +30,7 @@
 const limitTests = { directed: ['target-limits'], random: ['target-limit-faults'] }
 
 const responseTests = {
-  directed: ['second-answers', 'embedded-response', 'packages/http/dist/keep-alive-agent'],
+  directed: ['second-answers', 'broken-answers', 'embedded-response', 'packages/http/dist/keep-alive-agent'],
   random: ['second-answer-faults'],
 }
 
@@ -292,16 +292,9 @@
     changes: [[exchange, 'if (status < 300 && !isProvenSuccess(incoming.headers))', 'if (false)']],
   },
   {
-    name: 'a waiting request gets a connection that becomes free without a check',
+    name: 'a retired connection is reused',
     isOutOfReach: true,
-    changes: [
-      [pool, 'maxSockets: Infinity', 'maxSockets: connections'],
-      [
-        pool,
-        'this.#waiting.push({ request, options });\n        this.#assignConnections();',
-        'addRequest.call(this, request, options);',
-      ],
-    ],
+    changes: [[pool, 'connection.serial <= this.#retiredSerial || ', '']],
   },
   {
     name: 'a connection is reused after bytes behind a response',
