Take no end for a reset in the test forwarder when both directions were closed

Found by the whole run of the tests: 'the forwarder passes on a whole stream and the response to it after the sender closed its direction' failed in 4 of 4 runs since the forwarder passes resets on. Cause: a connection whose both directions are closed has no remote port either. The gateway never closes its direction first, so its own check is not affected.

--- a/packages/standins/src/forwarder.ts
+++ b/packages/standins/src/forwarder.ts
@@ -173,8 +173,9 @@
     })
     from.on('end', () => {
       if (isDropped()) return
-      // Node reports an end for some reset connections; such a one has no remote port any more.
-      if (from.remotePort === undefined) resetConnection(to)
+      // Node reports an end for some reset connections; such a one has no remote port any more. Nor has one whose
+      // own direction was closed before, as both are closed now.
+      if (from.remotePort === undefined && !from.writableEnded) resetConnection(to)
       else to.end()
     })
     // A reset is passed on as one: after an end, a response without a length would look complete.
