Check answers of random targets by their exchange, not by the order in which the target wrote them

Cause: the check, not the gateway. It took the answer that the owner wrote last for the one to the last attempt. An attempt is lost when a copy for another request arrives on its connection; the next attempt goes to another connection, while the target still works on the first one and may write its answer after the second's. Three traces show it; one of them: attempt 2 was discarded as crossed at 5071.5 ms, attempt 3 was sent as exchange 2 of connection 9 and got a-16, written for exchange 2 at 5080.7 ms; a-18 was written for attempt 2 at 5083.0 ms on the connection that had been closed.

Now the answer that reaches a caller has to be the one for the exchange that the gateway took it for: a connection carries requests and answers in order, so the number of the exchange on it names one answer. This is as strict for the owner of a key, no longer skips requests of which an attempt was not sent, and also holds for the targets of a service. Ruled out: a copy taken for a later attempt (the number of the exchange would differ).

--- a/packages/gateway/src/second-answer-faults.test.ts
+++ b/packages/gateway/src/second-answer-faults.test.ts
@@ -1,6 +1,6 @@
 /**
  * Targets that answer at random and write answers a second time, over real sockets. Guards against any answer that
- * reaches a caller and is not what a target wrote for that attempt of that request;
+ * reaches a caller and is not what a target wrote for that exchange;
  * `scripts/check-defences.mjs` shows that each defence is found.
  */
 import assert from 'node:assert/strict'
@@ -8,7 +8,7 @@
 import { Logger, type LogFields, type LogLevel } from '@pimentotally/core'
 import { signatureOf } from '@pimentotally/platform/testing'
 import { TestGateway } from './testing-gateway.js'
-import { RepeatingTarget } from './testing-second-answers.js'
+import { RepeatingTarget, type WrittenAnswer } from './testing-second-answers.js'
 
 const seeds = 4
 const callers = 8
@@ -18,15 +18,12 @@
 /** Bounds each test, so that a request that is never answered fails it. */
 const timeoutMs = 120_000
 
-/** Records which attempt of a request the gateway takes an answer for. */
-class AttemptLogger extends Logger {
+/** Records which exchange of a connection the gateway takes an answer for. */
+class ExchangeLogger extends Logger {
   readonly answered = new Map<string, LogFields>()
-  readonly notSent = new Set<string>()
 
   override log(_level: LogLevel, event: string, fields: LogFields = {}): void {
-    const requestId = String(fields['requestId'])
-    if (event === 'request.answered') this.answered.set(requestId, fields)
-    if (event === 'attempt.failed' && fields['cause'] === 'not_sent') this.notSent.add(requestId)
+    if (event === 'request.answered') this.answered.set(String(fields['requestId']), fields)
   }
 }
 
@@ -40,7 +37,7 @@
   const targets = await Promise.all(
     ids.map((id, index) => RepeatingTarget.start(t, id, { seed: seed * 10 + index, breaksOff: !isSharded })),
   )
-  const logger = new AttemptLogger()
+  const logger = new ExchangeLogger()
   // Few connections, so that requests wait for one and connections are reused at once.
   const gateway = await TestGateway.start(
     t,
@@ -78,18 +75,16 @@
     if (written?.requestId !== requestId) violations.push(`${requestId} got the answer ${signature}`)
     else if (written.status !== status || written.body !== body)
       violations.push(`${requestId} got another status or body than ${signature} had`)
-    else if (isSharded) checkAttempt(requestId, signature)
+    else checkExchange(requestId, written)
   }
-  /** The owner gets all attempts of a request, so the number of an attempt tells which of its answers is meant. */
-  const checkAttempt = (requestId: string, signature: string): void => {
-    const attempt = logger.answered.get(requestId)?.['attempt']
-    if (attempt === undefined || logger.notSent.has(requestId)) return
-    const signatures = [...(targets[0]?.written ?? [])].filter(([, answer]) => answer.requestId === requestId)
-    const last = signatures.at(-1)?.[0]
-    if (last !== signature)
-      violations.push(
-        `${requestId} got ${signature} for attempt ${String(attempt)}, whose answer is ${String(last)}`,
-      )
+  /** A connection carries bytes in order, so the number of the exchange on it tells which answer is meant. */
+  const checkExchange = (requestId: string, { exchange }: WrittenAnswer): void => {
+    const expected = logger.answered.get(requestId)?.['exchanges']
+    // Not logged for the answer to an earlier attempt, which is passed on when no later one has a better answer.
+    if (expected === undefined || expected === exchange) return
+    violations.push(
+      `${requestId} got the answer to exchange ${String(exchange)} for exchange ${String(expected)} of a connection`,
+    )
   }
   const send = async (caller: number): Promise<void> => {
     for (let index = 0; index < requestsPerCaller; index += 1) await check(caller, index)
--- a/packages/gateway/src/testing-second-answers.ts
+++ b/packages/gateway/src/testing-second-answers.ts
@@ -1,6 +1,6 @@
 /**
  * A target over real sockets that answers at random, and may write an answer a second time, late. It records what it
- * wrote for each attempt, under a signature of its own, so that a test can tell which attempt an answer belongs to.
+ * wrote for each attempt, under a signature of its own, so that a test can tell which exchange an answer belongs to.
  */
 import type { Socket } from 'node:net'
 import type { TestContext } from 'node:test'
@@ -17,6 +17,15 @@
   readonly body: string
   /** Whether the target ran the request. */
   readonly hasRun: boolean
+  /** Number of the request on its connection, counted from 1. */
+  readonly exchange: number
+}
+
+interface ReceivedRequest {
+  readonly requestId: string
+  readonly exchange: number
+  /** Of the target. */
+  readonly id: string
 }
 
 type Framing = 'length' | 'chunks' | 'none'
@@ -46,6 +55,7 @@
 export class RepeatingTarget {
   /** By signature. */
   readonly written = new Map<string, WrittenAnswer>()
+  readonly #exchanges = new WeakMap<Socket, number>()
   readonly #random: Random
   #signatures = 0
   raw!: RawTarget
@@ -64,7 +74,9 @@
   ): Promise<RepeatingTarget> {
     const target = new RepeatingTarget(new Random(seed), breaksOff)
     target.raw = await startRawTarget(t, id, (socket, requestId) => {
-      void target.#answer(socket, requestId, id)
+      const exchange = (target.#exchanges.get(socket) ?? 0) + 1
+      target.#exchanges.set(socket, exchange)
+      void target.#answer(socket, { requestId, exchange, id })
     })
     return target
   }
@@ -75,7 +87,7 @@
       .length
   }
 
-  async #answer(socket: Socket, requestId: string, id: string): Promise<void> {
+  async #answer(socket: Socket, { requestId, exchange, id }: ReceivedRequest): Promise<void> {
     await sleep(this.#random.integer(maxWorkMs))
     const draw = this.#random.float()
     const kind = shares.find(([, until]) => draw < until)?.[0] ?? 'ok'
@@ -85,7 +97,8 @@
     const status = kind === 'error' ? 500 : notExecuted ? 503 : 200
     const isLarge = this.#random.float() < 0.1
     const body = `${signature} ${requestId} ${'x'.repeat(isLarge ? maxBufferedBytes + 5000 : this.#random.integer(300))}`
-    if (kind !== 'unsigned') this.written.set(signature, { requestId, status, body, hasRun: !notExecuted })
+    if (kind !== 'unsigned')
+      this.written.set(signature, { requestId, status, body, hasRun: !notExecuted, exchange })
     const framing = this.#random.pick<Framing>(['length', 'length', 'chunks', 'none']) ?? 'length'
     const fields = {
       ...answerHeaders(requestId, { notExecuted }),
