Do not send a request that proved to crash its targets while it waited for a connection

Cause: the history of a request was read only when its target was chosen. Until now the last question before the bytes are written was only whether the request had ended.

Now that question also asks for lost runs that became known since the choice. A request that was chosen to run alone still may, as its own run is counted already. It is refused with the reason and the Retry-After of the refusal it would have got at its choice; one that may have run before is answered 502 as before.

Requests pay nothing while no request is suspected.

--- a/packages/gateway/src/crashing-requests.test.ts
+++ b/packages/gateway/src/crashing-requests.test.ts
@@ -472,3 +472,37 @@
   await setTimeout(100)
   assert.equal(gateway.crashingRequests.suspects, suspectsOfNew)
 })
+
+test('a request that waits for a connection is not sent once its third crash is known', async (t) => {
+  const pending: (() => void)[] = []
+  const target = await startRawTarget(t, 'a', (socket, requestId) => {
+    pending.push(() => socket.write(`${rawHead(requestId, ['Content-Length: 2'])}\r\nok`))
+  })
+  const gateway = await TestGateway.start(t, [target], { isSharded: true, maxConnections: 2 })
+  gateway.assign('a', { version: 1 })
+  const fields = { key: 7 }
+  const served = [1, 2].map((index) => gateway.call(`/notes/${String(index)}`, { fields }))
+  while (pending.length < 2) await setTimeout(1)
+  const waiting = gateway.call('/notes/crash', { fields })
+  await setTimeout(50)
+  const content = { method: 'GET', hostname: 'shop.example', path: '/notes/crash', body: undefined }
+  const [, request = ''] = CrashingRequests.identify({ ...content, caller: '' })
+  const crash = (index: number): CrashStatement => ({
+    request,
+    target: `t${String(index)}`,
+    startedAtEpochMs: null,
+    hostName: 'other',
+    sentAgeMs: 1000 - index * 100,
+    endedAgeMs: 950 - index * 100,
+    cleared: false,
+  })
+  gateway.crashingRequests.merge([1, 2, 3].map(crash))
+  for (const respond of pending) respond()
+  const { status, body } = await waiting
+  assert.deepEqual([status, body.includes('crash_unconfirmed')], [503, true], body)
+  assert.equal(target.receivedIds.length, 2)
+  assert.deepEqual(
+    (await Promise.all(served)).map((response) => response.status),
+    [200, 200],
+  )
+})
--- a/packages/gateway/src/proxied-request.ts
+++ b/packages/gateway/src/proxied-request.ts
@@ -288,6 +288,16 @@
       : crashingRequests.refuse(this.#crashNames, defaultRetryAfterMs)
   }
 
+  /**
+   * Whether lost runs of the request that became known while it waited for a connection keep it from running. One
+   * that was chosen to run alone still may.
+   */
+  #isSuspectedMore(verdictBefore: CrashVerdict): boolean {
+    const { crashingRequests } = this.#options
+    if (crashingRequests.isEmpty || crashingRequests.mayRepeat(this.#crashNames)) return false
+    return crashingRequests.verdict(this.#crashNames) !== verdictBefore
+  }
+
   /** Why the request must not be sent to the selected target, if this is a repeat; undefined if it may be. */
   #refuseRepeat(kind: SendKind, { id }: KnownTarget): Refusal | undefined {
     if (kind === 'first') return undefined
@@ -306,6 +316,9 @@
     const { request, requestId, match, body } = this.#inbound
     const agent = targets.agent(target, match.service)
     const sentAtMs = this.#nowMs()
+    const verdict = crashingRequests.isEmpty
+      ? CrashVerdict.unsuspected
+      : crashingRequests.verdict(this.#crashNames)
     const exchange = new TargetExchange({
       agent,
       address: target.address,
@@ -319,7 +332,7 @@
       // A request that must not be repeated is not written to a connection that the target may have closed, or
       // on which bytes of another response may arrive.
       ...(this.#isIdempotent ? {} : { maxIdleMs: targets.isReuseUnsafe(target.id) ? 0 : maxUnsafeIdleMs }),
-      mayStart: () => !this.#finished,
+      mayStart: () => !this.#finished && !this.#isSuspectedMore(verdict),
       settled: (result) => {
         void this.#guard(() => {
           this.#pendingAttempts.delete(attempt)
@@ -447,8 +460,12 @@
       elapsedMs: this.#elapsedMs(),
       leftMs: this.#leftMs(),
     })
-    if (this.#mayRepeat()) void this.#guard(() => this.#send('retry'))
-    else this.#endWithoutTarget({ reason: cause, retryAfterMs: defaultRetryAfterMs })
+    if (this.#mayRepeat()) {
+      void this.#guard(() => this.#send('retry'))
+      return
+    }
+    const refusal = result.kind === 'not_sent' ? this.#refuseCrashing() : undefined
+    this.#endWithoutTarget(refusal ?? { reason: cause, retryAfterMs: defaultRetryAfterMs })
   }
 
   /** Whether the request may be sent again, as far as its route, its deadline and earlier attempts go. */
--- a/packages/gateway/src/target-exchange.ts
+++ b/packages/gateway/src/target-exchange.ts
@@ -43,7 +43,7 @@
   connect: 'connect',
   /** No connection became free in time: all that this host may have to the target are in use. */
   noConnection: 'no-connection',
-  /** The request had ended before the connection was ready. */
+  /** The request had ended, or must no longer run, before the connection was ready. */
   notWanted: 'not-wanted',
 } as const
 export type NotSentReason = (typeof NotSentReason)[keyof typeof NotSentReason]
@@ -222,7 +222,7 @@
       this.#settle({
         kind: 'not_sent',
         reason: NotSentReason.notWanted,
-        message: 'the request ended before the connection was ready',
+        message: 'the request was no longer wanted when the connection was ready',
       })
       this.#request.destroy()
       return
