Run a waiting request alone when its second crash becomes known, and send one that is suspected less

What callers saw: a request that waited for a connection got 503 not_sent although the same request, coming at that moment, was sent: after its second crash became known, after a run to the end had cleared it of one, and after one crash while other targets, such as those of a lost rack, were still being examined.

Cause: the question before the bytes are written took the rule for repeats (which counts runs whose targets are still examined) for first sendings, and any change of the verdict for a worse one.

Now a first sending is held back only when its verdict has become to run alone or to be refused. If it may run alone, its target is chosen anew, so that it counts as running and keeps apart from other suspects; of several that wait, one runs. A repeat is asked what it was asked at its choice, whatever its verdict was then.

--- a/packages/gateway/src/crashing-requests.test.ts
+++ b/packages/gateway/src/crashing-requests.test.ts
@@ -1,6 +1,6 @@
 /** Requests that crash each target that runs them, and innocent ones that ran beside them. */
 import assert from 'node:assert/strict'
-import { test } from 'node:test'
+import { test, type TestContext } from 'node:test'
 import { setTimeout } from 'node:timers/promises'
 import { SilentLogger } from '@pimentotally/core'
 import { VirtualTime, type VirtualClock } from '@pimentotally/core/testing'
@@ -14,7 +14,7 @@
 } from './crashing-requests.js'
 import { Directory } from './directory.js'
 import { routerStateKeys } from './router-state-rows.js'
-import { TestGateway, startRawTarget, rawHead, type TestTarget } from './testing-gateway.js'
+import { TestGateway, startRawTarget, rawHead, type RawTarget, type TestTarget } from './testing-gateway.js'
 
 const request = 'crashing'
 const names = [request]
@@ -506,3 +506,106 @@
     [200, 200],
   )
 })
+
+interface FullOwner {
+  readonly gateway: TestGateway
+  readonly target: RawTarget
+  /** Calls with the key that the target owns. */
+  readonly call: (path: string) => ReturnType<TestGateway['call']>
+  /** Name of the request to `/notes/crash`. */
+  readonly name: string
+  readonly crash: (index: number, more?: Partial<CrashStatement>) => CrashStatement
+  /** Two runs of the request are lost, and whether their target has ended is not found out within the test. */
+  readonly loseUnexplained: () => void
+  /** Answers what the target has received and will receive. */
+  readonly release: () => Promise<void>
+}
+
+/** Starts an owner of a key whose two connections carry requests until `release` is called. */
+const startFullOwner = async (t: TestContext): Promise<FullOwner> => {
+  const pending: (() => void)[] = []
+  let isReleased = false
+  const target = await startRawTarget(t, 'a', (socket, requestId) => {
+    const respond = (): void => {
+      socket.write(`${rawHead(requestId, ['Content-Length: 2'])}\r\nok`)
+    }
+    if (isReleased) respond()
+    else pending.push(respond)
+  })
+  const gateway = await TestGateway.start(t, [target], { isSharded: true, maxConnections: 2 })
+  gateway.assign('a', { version: 1 })
+  const call: FullOwner['call'] = (path) => gateway.call(path, { fields: { key: 7 } })
+  const served = [1, 2].map((index) => call(`/notes/${String(index)}`))
+  while (pending.length < 2) await setTimeout(1)
+  const content = { method: 'GET', hostname: 'shop.example', path: '/notes/crash', body: undefined }
+  const [, name = ''] = CrashingRequests.identify({ ...content, caller: '' })
+  return {
+    gateway,
+    target,
+    call,
+    name,
+    crash: (index, more = {}) => ({
+      request: name,
+      target: `t${String(index)}`,
+      startedAtEpochMs: null,
+      hostName: 'other',
+      sentAgeMs: 1000 - index * 100,
+      endedAgeMs: 950 - index * 100,
+      cleared: false,
+      ...more,
+    }),
+    loseUnexplained: () => {
+      // A connection to the broadcast address fails at once without a refusal, so it tells nothing of the target.
+      const row = targetRow({ id: 't8', address: '255.255.255.255:9' })
+      gateway.directory.applyTargetRegistry({ changed: [row], removed: [], version: 2 })
+      const lostTarget = gateway.directory.target('t8')
+      assert.ok(lostTarget)
+      for (const requestId of ['lost-1', 'lost-2'])
+        void gateway.crashingRequests.runLost({
+          names: [name],
+          requestId,
+          target: lostTarget,
+          sentAtMs: performance.now() - 100,
+        })
+    },
+    release: async () => {
+      isReleased = true
+      for (const respond of pending.splice(0)) respond()
+      await Promise.all(served)
+    },
+  }
+}
+
+test('a request that waits for a connection runs alone when its second crash becomes known', async (t) => {
+  const { gateway, target, call, crash, release } = await startFullOwner(t)
+  const waiting = [call('/notes/crash'), call('/notes/crash')]
+  await setTimeout(50)
+  gateway.crashingRequests.merge([1, 2].map((index) => crash(index)))
+  await release()
+  const statuses = (await Promise.all(waiting)).map(({ status }) => status)
+  assert.deepEqual(statuses.sort(), [200, 503], 'one of them runs, as when it had come now')
+  assert.equal(target.receivedIds.length, 3)
+})
+
+test('a request that waits for a connection is sent when a run to the end has cleared it', async (t) => {
+  const { gateway, call, crash, loseUnexplained, release } = await startFullOwner(t)
+  gateway.crashingRequests.merge([crash(1)])
+  const waiting = call('/notes/crash')
+  await setTimeout(50)
+  gateway.crashingRequests.merge([crash(1, { cleared: true, completedAgeMs: 5 })])
+  loseUnexplained()
+  await release()
+  const { status, body } = await waiting
+  assert.equal(status, 200, body)
+})
+
+test('a request that waits for a connection is sent after one crash while other targets are examined', async (t) => {
+  const { gateway, call, crash, loseUnexplained, release } = await startFullOwner(t)
+  loseUnexplained()
+  const waiting = call('/notes/crash')
+  await setTimeout(50)
+  gateway.crashingRequests.merge([crash(1)])
+  await release()
+  const { status, body } = await waiting
+  assert.equal(status, 200, body)
+})
--- a/packages/gateway/src/proxied-request.ts
+++ b/packages/gateway/src/proxied-request.ts
@@ -235,7 +235,7 @@
       this.#refuseCrashing() ??
       ('refusal' in selection ? selection.refusal : this.#refuseRepeat(kind, selection.target))
     if (refusal === undefined) {
-      this.#sendTo(selection as ChosenTarget)
+      this.#sendTo(kind, selection as ChosenTarget)
       if (kind === 'first') this.#scheduleHedge((selection as ChosenTarget).predicted)
       return
     }
@@ -289,13 +289,16 @@
   }
 
   /**
-   * Whether lost runs of the request that became known while it waited for a connection keep it from running. One
-   * that was chosen to run alone still may.
+   * Whether lost runs of the request that became known while it waited for a connection keep it from running. A first
+   * sending that was chosen to run alone still may; a repeat is held to what is asked of it at its choice.
    */
-  #isSuspectedMore(verdictBefore: CrashVerdict): boolean {
+  #isSuspectedMore(kind: SendKind, verdictBefore: CrashVerdict): boolean {
     const { crashingRequests } = this.#options
-    if (crashingRequests.isEmpty || crashingRequests.mayRepeat(this.#crashNames)) return false
-    return crashingRequests.verdict(this.#crashNames) !== verdictBefore
+    if (crashingRequests.isEmpty) return false
+    if (kind !== 'first') return !crashingRequests.mayRepeat(this.#crashNames)
+    const verdict = crashingRequests.verdict(this.#crashNames)
+    if (verdict === verdictBefore) return false
+    return verdict === CrashVerdict.runsAlone || verdict === CrashVerdict.blocked
   }
 
   /** Why the request must not be sent to the selected target, if this is a repeat; undefined if it may be. */
@@ -311,7 +314,7 @@
     return { reason: 'retry_budget', retryAfterMs: defaultRetryAfterMs }
   }
 
-  #sendTo({ target, predicted }: ChosenTarget): void {
+  #sendTo(kind: SendKind, { target, predicted }: ChosenTarget): void {
     const { targets, crashingRequests } = this.#options
     const { request, requestId, match, body } = this.#inbound
     const agent = targets.agent(target, match.service)
@@ -332,7 +335,7 @@
       // A request that must not be repeated is not written to a connection that the target may have closed, or
       // on which bytes of another response may arrive.
       ...(this.#isIdempotent ? {} : { maxIdleMs: targets.isReuseUnsafe(target.id) ? 0 : maxUnsafeIdleMs }),
-      mayStart: () => !this.#finished && !this.#isSuspectedMore(verdict),
+      mayStart: () => !this.#finished && !this.#isSuspectedMore(kind, verdict),
       settled: (result) => {
         void this.#guard(() => {
           this.#pendingAttempts.delete(attempt)
@@ -438,6 +441,11 @@
       if (result.kind === 'response' && !result.complete) result.incoming.destroy()
       return
     }
+    if (this.#mayChooseAgain(result)) {
+      this.#tried.delete(target.id)
+      void this.#guard(() => this.#send('first'))
+      return
+    }
     const mayHaveRun = result.kind === 'lost' || (result.kind === 'response' && !result.notExecuted)
     if (mayHaveRun) this.#mayHaveRunOn.add(target.id)
     if (result.kind === 'response' && mayHaveRun) {
@@ -468,6 +476,15 @@
     this.#endWithoutTarget(refusal ?? { reason: cause, retryAfterMs: defaultRetryAfterMs })
   }
 
+  /**
+   * Whether the request was not written because of lost runs that became known since its choice, but may still run
+   * alone. Its target is chosen anew, as it was not kept apart from other suspects and did not count as running.
+   */
+  #mayChooseAgain(result: ExchangeResult): boolean {
+    const isUnwanted = result.kind === 'not_sent' && result.reason === NotSentReason.notWanted
+    return isUnwanted && this.#sends === 1 && this.#refuseCrashing() === undefined
+  }
+
   /** Whether the request may be sent again, as far as its route, its deadline and earlier attempts go. */
   #mayRepeat(): boolean {
     if (this.#mayHaveRunOn.size > 0 && !this.#isIdempotent) return false
