Test that a waiting repeat is not sent once other lost runs of it are being examined

What callers saw on: a repeat that waited for a connection was sent (200, a fourth request at the target) while two more lost runs of the request were being examined; at its choice it would not have been allowed.

Cause: a verdict that had not changed let it be sent, and the runs under examination are no part of the verdict.

--- a/packages/gateway/src/crashing-requests.test.ts
+++ b/packages/gateway/src/crashing-requests.test.ts
@@ -1,5 +1,6 @@
 /** Requests that crash each target that runs them, and innocent ones that ran beside them. */
 import assert from 'node:assert/strict'
+import type { Socket } from 'node:net'
 import { test, type TestContext } from 'node:test'
 import { setTimeout } from 'node:timers/promises'
 import { SilentLogger } from '@pimentotally/core'
@@ -517,26 +518,30 @@
   readonly crash: (index: number, more?: Partial<CrashStatement>) => CrashStatement
   /** Two runs of the request are lost, and whether their target has ended is not found out within the test. */
   readonly loseUnexplained: () => void
+  /** Closes the connections on which the target received the request. */
+  readonly breakOff: () => void
   /** Answers what the target has received and will receive. */
   readonly release: () => Promise<void>
 }
 
 /** Starts an owner of a key whose two connections carry requests until `release` is called. */
-const startFullOwner = async (t: TestContext): Promise<FullOwner> => {
+const startFullOwner = async (t: TestContext, paths = ['/notes/1', '/notes/2']): Promise<FullOwner> => {
   const pending: (() => void)[] = []
+  const crashSockets: Socket[] = []
   let isReleased = false
-  const target = await startRawTarget(t, 'a', (socket, requestId) => {
+  const target = await startRawTarget(t, 'a', (socket, requestId, _index, path) => {
     const respond = (): void => {
       socket.write(`${rawHead(requestId, ['Content-Length: 2'])}\r\nok`)
     }
+    if (path === '/notes/crash') crashSockets.push(socket)
     if (isReleased) respond()
     else pending.push(respond)
   })
   const gateway = await TestGateway.start(t, [target], { isSharded: true, maxConnections: 2 })
   gateway.assign('a', { version: 1 })
   const call: FullOwner['call'] = (path) => gateway.call(path, { fields: { key: 7 } })
-  const served = [1, 2].map((index) => call(`/notes/${String(index)}`))
-  while (pending.length < 2) await setTimeout(1)
+  const served = paths.map((path) => call(path))
+  while (pending.length < paths.length) await setTimeout(1)
   const content = { method: 'GET', hostname: 'shop.example', path: '/notes/crash', body: undefined }
   const [, name = ''] = CrashingRequests.identify({ ...content, caller: '' })
   return {
@@ -568,6 +573,9 @@
           sentAtMs: performance.now() - 100,
         })
     },
+    breakOff: () => {
+      for (const socket of crashSockets.splice(0)) socket.destroy()
+    },
     release: async () => {
       isReleased = true
       for (const respond of pending.splice(0)) respond()
@@ -609,3 +617,24 @@
   const { status, body } = await waiting
   assert.equal(status, 200, body)
 })
+
+test('a repeat that waits for a connection is not sent once other lost runs of it are being examined', async (t) => {
+  const { target, gateway, name, call, loseUnexplained, breakOff, release } = await startFullOwner(t, [
+    '/notes/1',
+  ])
+  const repeated = call('/notes/crash')
+  while (target.receivedIds.length < 2) await setTimeout(1)
+  const other = call('/notes/2')
+  await setTimeout(30)
+  breakOff()
+  // The other request gets the connection that becomes free, and the repeat waits.
+  while (target.receivedIds.length < 3) await setTimeout(1)
+  await setTimeout(30)
+  loseUnexplained()
+  assert.equal(gateway.crashingRequests.mayRepeat([name]), false)
+  await release()
+  const { status, body } = await repeated
+  assert.equal(status, 502, body)
+  assert.equal((await other).status, 200)
+  assert.equal(target.receivedIds.length, 3)
+})
