Compare the attempt and the connection of each answer of random targets as well

Now the answer also has to be the one to the attempt that the gateway took it for, by the order in which the owner of a key received the attempts (not that in which it answered them, which was the fault of the earlier check), when it received all of them. The target and the port of the connection have to fit too, the exchange must not be one whose answer was discarded, and enough answers must have been compared.

--- a/packages/gateway/src/second-answer-faults.test.ts
+++ b/packages/gateway/src/second-answer-faults.test.ts
@@ -18,12 +18,19 @@
 /** Bounds each test, so that a request that is never answered fails it. */
 const timeoutMs = 120_000
 
+/** Names an exchange by the target, the number of the connection to it, and its number on the connection. */
+const exchangeKey = ({ target, connection, exchanges }: LogFields): string =>
+  [target, connection, exchanges].map(String).join('/')
+
 /** Records which exchange of a connection the gateway takes an answer for. */
 class ExchangeLogger extends Logger {
   readonly answered = new Map<string, LogFields>()
+  /** Exchanges whose answer the gateway did not accept; see `exchangeKey`. */
+  readonly discarded = new Set<string>()
 
   override log(_level: LogLevel, event: string, fields: LogFields = {}): void {
     if (event === 'request.answered') this.answered.set(String(fields['requestId']), fields)
+    if (event === 'response.discarded') this.discarded.add(exchangeKey(fields))
   }
 }
 
@@ -77,20 +84,43 @@
       violations.push(`${requestId} got another status or body than ${signature} had`)
     else checkExchange(requestId, written)
   }
+  /** Port of the gateway's end of each connection, by target and number of the connection, and the reverse. */
+  const ports = new Map<string, string>()
+  let compared = 0
   /** A connection carries bytes in order, so the number of the exchange on it tells which answer is meant. */
-  const checkExchange = (requestId: string, { exchange }: WrittenAnswer): void => {
-    const expected = logger.answered.get(requestId)?.['exchanges']
+  const checkExchange = (requestId: string, { exchange, receipt, target, port }: WrittenAnswer): void => {
+    const answered = logger.answered.get(requestId)
     // Not logged for the answer to an earlier attempt, which is passed on when no later one has a better answer.
-    if (expected === undefined || expected === exchange) return
-    violations.push(
-      `${requestId} got the answer to exchange ${String(exchange)} for exchange ${String(expected)} of a connection`,
-    )
+    if (answered?.['exchanges'] === undefined) return
+    compared += 1
+    const expected = exchangeKey(answered)
+    const connection = `${target}/${String(answered['connection'])}`
+    const socket = `${target}:${String(port)}`
+    if (!ports.has(connection)) ports.set(connection, socket)
+    if (!ports.has(socket)) ports.set(socket, connection)
+    if (expected !== `${connection}/${String(exchange)}`)
+      violations.push(
+        `${requestId} got the answer to exchange ${String(exchange)} of ${target} for ${expected}`,
+      )
+    if (ports.get(connection) !== socket || ports.get(socket) !== connection)
+      violations.push(
+        `${requestId} got an answer from ${socket} for ${expected}, which is another connection`,
+      )
+    if (logger.discarded.has(expected))
+      violations.push(`${requestId} got the answer to ${expected}, which had been discarded`)
+    // The owner gets all attempts of a request in their order, unless one of them was not sent.
+    if (!isSharded || targets[0]?.receipts.get(requestId) !== answered['sends']) return
+    if (receipt !== answered['attempt'])
+      violations.push(
+        `${requestId} got the answer to attempt ${String(receipt)} for attempt ${String(answered['attempt'])}`,
+      )
   }
   const send = async (caller: number): Promise<void> => {
     for (let index = 0; index < requestsPerCaller; index += 1) await check(caller, index)
   }
   await Promise.all(Array.from({ length: callers }, (_, caller) => send(caller)))
   assert.ok(passedOn >= minPassedOn, `only ${String(passedOn)} answers of targets reached callers`)
+  assert.ok(compared >= minPassedOn, `only ${String(compared)} answers were compared with their exchange`)
   return violations
 }
 
--- a/packages/gateway/src/testing-second-answers.ts
+++ b/packages/gateway/src/testing-second-answers.ts
@@ -19,14 +19,15 @@
   readonly hasRun: boolean
   /** Number of the request on its connection, counted from 1. */
   readonly exchange: number
+  /** How often the target had received the request by then. */
+  readonly receipt: number
+  /** Id of the target that wrote it. */
+  readonly target: string
+  /** Port of the gateway's end of the connection. */
+  readonly port: number | undefined
 }
 
-interface ReceivedRequest {
-  readonly requestId: string
-  readonly exchange: number
-  /** Of the target. */
-  readonly id: string
-}
+type ReceivedRequest = Pick<WrittenAnswer, 'requestId' | 'exchange' | 'receipt' | 'target' | 'port'>
 
 type Framing = 'length' | 'chunks' | 'none'
 
@@ -55,6 +56,8 @@
 export class RepeatingTarget {
   /** By signature. */
   readonly written = new Map<string, WrittenAnswer>()
+  /** How often each request was received. */
+  readonly receipts = new Map<string, number>()
   readonly #exchanges = new WeakMap<Socket, number>()
   readonly #random: Random
   #signatures = 0
@@ -76,7 +79,9 @@
     target.raw = await startRawTarget(t, id, (socket, requestId) => {
       const exchange = (target.#exchanges.get(socket) ?? 0) + 1
       target.#exchanges.set(socket, exchange)
-      void target.#answer(socket, { requestId, exchange, id })
+      const receipt = (target.receipts.get(requestId) ?? 0) + 1
+      target.receipts.set(requestId, receipt)
+      void target.#answer(socket, { requestId, exchange, receipt, target: id, port: socket.remotePort })
     })
     return target
   }
@@ -87,18 +92,18 @@
       .length
   }
 
-  async #answer(socket: Socket, { requestId, exchange, id }: ReceivedRequest): Promise<void> {
+  async #answer(socket: Socket, received: ReceivedRequest): Promise<void> {
+    const { requestId, target } = received
     await sleep(this.#random.integer(maxWorkMs))
     const draw = this.#random.float()
     const kind = shares.find(([, until]) => draw < until)?.[0] ?? 'ok'
     this.#signatures += 1
-    const signature = `${id}-${String(this.#signatures)}`
+    const signature = `${target}-${String(this.#signatures)}`
     const notExecuted = kind === 'refusal'
     const status = kind === 'error' ? 500 : notExecuted ? 503 : 200
     const isLarge = this.#random.float() < 0.1
     const body = `${signature} ${requestId} ${'x'.repeat(isLarge ? maxBufferedBytes + 5000 : this.#random.integer(300))}`
-    if (kind !== 'unsigned')
-      this.written.set(signature, { requestId, status, body, hasRun: !notExecuted, exchange })
+    if (kind !== 'unsigned') this.written.set(signature, { ...received, status, body, hasRun: !notExecuted })
     const framing = this.#random.pick<Framing>(['length', 'length', 'chunks', 'none']) ?? 'length'
     const fields = {
       ...answerHeaders(requestId, { notExecuted }),
