--- a/packages/gateway/src/target-exchange.test.ts
+++ b/packages/gateway/src/target-exchange.test.ts
@@ -1,11 +1,12 @@
 /**
- * How the end of a target's response is distinguished from a broken connection, over real sockets. Guards
- * against responses that are forwarded although they are truncated or belong to another request.
+ * How the end of a target's response is distinguished from a broken connection, and an unreachable target from a
+ * host that was blocked, over real sockets. Guards against responses that are forwarded although they are truncated
+ * or belong to another request, and against requests that are refused although their target accepts connections.
  */
 import assert from 'node:assert/strict'
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import { test, type TestContext } from 'node:test'
-import { exchangeRequestId, rawHead, startExchange } from './testing-gateway.js'
+import { exchangeRequestId, rawHead, singleConnectionAgent, startExchange } from './testing-gateway.js'
 
 const listen = async (t: TestContext, answer: (socket: Socket) => void): Promise<string> => {
   const sockets = new Set<Socket>()
@@ -84,3 +85,47 @@
   const result = await startExchange(t, '127.0.0.1:1')
   assert.equal(result.kind, 'not_sent')
 })
+
+/** Blocks this process, as when it gets no processor time. */
+const block = (ms: number): void => {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms)
+}
+
+test('a target that accepts a connection while this process is blocked does not count as unreachable', async (t) => {
+  const address = await listen(t, (socket) => {
+    socket.end(`${head}Content-Length: 2\r\n\r\nok`)
+  })
+  const result = startExchange(t, address, { connectTimeoutMs: 100 })
+  // By then the connection is being opened; the kernel completes it during the block.
+  process.nextTick(block, 300)
+  assert.equal((await result).kind, 'response')
+})
+
+test('a request gets the connection that becomes free while this process is blocked', async (t) => {
+  const ok = 'Content-Length: 2\r\n\r\nok'
+  const address = await listen(t, (socket) => {
+    socket.once('data', () => {
+      socket.end(`${headFor('r-2')}${ok}`)
+    })
+    socket.write(`${head}${ok}`)
+    block(300)
+  })
+  const agent = singleConnectionAgent(t)
+  const first = startExchange(t, address, { agent })
+  const second = startExchange(t, address, { agent, requestId: 'r-2', connectTimeoutMs: 100 })
+  assert.equal((await first).kind, 'response')
+  assert.equal((await second).kind, 'response')
+})
+
+test('a request that gets no connection ends after its time limit, also when this process was blocked', async (t) => {
+  const address = await listen(t, () => undefined)
+  const agent = singleConnectionAgent(t)
+  void startExchange(t, address, { agent })
+  const startedMs = performance.now()
+  const second = startExchange(t, address, { agent, requestId: 'r-2', connectTimeoutMs: 100 })
+  process.nextTick(block, 300)
+  const result = await second
+  assert.equal(result.kind === 'not_sent' && result.reason, 'no-connection')
+  const tookMs = performance.now() - startedMs
+  assert.ok(tookMs < 2000, `took ${String(tookMs)} ms`)
+})
--- a/packages/gateway/src/testing-gateway.ts
+++ b/packages/gateway/src/testing-gateway.ts
@@ -136,14 +136,33 @@
 
 export const exchangeRequestId = 'r-1'
 
-/** Sends one request with the id `exchangeRequestId` on a new connection. */
-export const startExchange = (t: TestContext, address: string): Promise<ExchangeResult> => {
+export interface ExchangeTestOptions {
+  readonly connectTimeoutMs?: number
+  readonly requestId?: string
+  /** Opens a new connection by default. */
+  readonly agent?: KeepAliveAgent
+}
+
+/** Returns an agent with a single connection, which is closed after the test. */
+export const singleConnectionAgent = (t: TestContext): KeepAliveAgent => {
   const agent = new KeepAliveAgent({ connections: 1, idleTimeoutMs: 1000, onIdleClosed: () => undefined })
   t.after(() => {
     agent.destroy()
   })
-  const requestId = exchangeRequestId
-  return new Promise((resolve) => {
+  return agent
+}
+
+/** Sends one request, by default with the id `exchangeRequestId` on a new connection. */
+export const startExchange = (
+  t: TestContext,
+  address: string,
+  {
+    connectTimeoutMs = 5000,
+    requestId = exchangeRequestId,
+    agent = singleConnectionAgent(t),
+  }: ExchangeTestOptions = {},
+): Promise<ExchangeResult> =>
+  new Promise((resolve) => {
     new TargetExchange({
       agent,
       address,
@@ -152,12 +171,11 @@
       headers: ['Host', 'h', ...Object.entries(callerHeaders({ requestId })).flat()],
       body: undefined,
       requestId,
-      connectTimeoutMs: 5000,
+      connectTimeoutMs,
       mayStart: () => true,
       settled: resolve,
     })
   })
-}
 
 export interface TestResponse {
   readonly status: number
