Write no request on a connection that was reset while this host was blocked

What callers would see: 502 for a request that must not be repeated and that no target received, instead of its being sent to another target.

Node runs due timers before the events of sockets. When the process was blocked for longer than the delay, the request was written before the reset was handled, and then counted as one that may have run.

Now the request is written only after the events that were waiting when the delay ended.

--- a/packages/gateway/src/target-exchange.test.ts
+++ b/packages/gateway/src/target-exchange.test.ts
@@ -101,6 +101,23 @@
   assert.equal((await result).kind, 'response')
 })
 
+test('nothing is written on a connection that was reset while this process was blocked', async (t) => {
+  const server = createServer((socket) => {
+    setTimeout(() => {
+      // After a block in an immediate, due timers run before events of sockets.
+      setImmediate(() => {
+        socket.resetAndDestroy()
+        block(100)
+      })
+    }, 20)
+  })
+  t.after(() => server.close())
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  const address = `127.0.0.1:${String((server.address() as AddressInfo).port)}`
+  const result = await startExchange(t, address, { delayAfterConnectMs: 60 })
+  assert.equal(result.kind, 'not_sent')
+})
+
 test('a request gets the connection that becomes free while this process is blocked', async (t) => {
   const ok = 'Content-Length: 2\r\n\r\nok'
   const address = await listen(t, (socket) => {
--- a/packages/gateway/src/target-exchange.ts
+++ b/packages/gateway/src/target-exchange.ts
@@ -229,7 +229,10 @@
     }
     clearTimeout(this.#connectTimer)
     this.#connectTimer = setTimeout(() => {
-      this.#writeRequest()
+      // Timers run before events of sockets: a reset that arrived while this process was blocked is handled first.
+      setImmediate(() => {
+        this.#writeRequest()
+      })
     }, delayMs)
   }
 
--- a/packages/gateway/src/testing-gateway.ts
+++ b/packages/gateway/src/testing-gateway.ts
@@ -138,6 +138,7 @@
 
 export interface ExchangeTestOptions {
   readonly connectTimeoutMs?: number
+  readonly delayAfterConnectMs?: number
   readonly requestId?: string
   /** Opens a new connection by default. */
   readonly agent?: KeepAliveAgent
@@ -158,6 +159,7 @@
   address: string,
   {
     connectTimeoutMs = 5000,
+    delayAfterConnectMs = 0,
     requestId = exchangeRequestId,
     agent = singleConnectionAgent(t),
   }: ExchangeTestOptions = {},
@@ -172,6 +174,7 @@
       body: undefined,
       requestId,
       connectTimeoutMs,
+      delayAfterConnectMs,
       mayStart: () => true,
       settled: resolve,
     })
