Do not send a waiting request beside a later one of it when several of it were lost at once

A request waited for a connection, several runs of it were lost at once elsewhere, and a later one of it was chosen to run. When connections became free, both ran, although of a request that crashes several targets at once one may run at a time.

Cause: the question before the bytes are written looked at the verdict only, and that several were lost at once is not part of it. The request had been chosen before it was suspected, so the later one did not find it running.

Now a request that was not suspected at its choice is also asked what it would be asked if it came now. That is exact, as its own run is not among those under suspicion. One that was a suspect at its choice already counted as running.

Test first: "... is not sent beside a later one when several of it were lost at once" got 200 instead of 503 suspect_runs with the new condition taken out of the built file; 29 of 29 of crashing-requests.test pass with it. The test of a target that cannot be reached uses the broadcast address of loopback now, so that nothing leaves the machine; it fails at once in the same way (ENETUNREACH).

--- a/packages/gateway/src/crashing-requests.test.ts
+++ b/packages/gateway/src/crashing-requests.test.ts
@@ -560,8 +560,8 @@
       ...more,
     }),
     loseUnexplained: () => {
-      // A connection to the broadcast address fails at once without a refusal, so it tells nothing of the target.
-      const row = targetRow({ id: 't8', address: '255.255.255.255:9' })
+      // A connection to the broadcast address of loopback fails at once without a refusal, so it tells nothing of the target.
+      const row = targetRow({ id: 't8', address: '127.255.255.255:9' })
       gateway.directory.applyTargetRegistry({ changed: [row], removed: [], version: 2 })
       const lostTarget = gateway.directory.target('t8')
       assert.ok(lostTarget)
@@ -638,3 +638,22 @@
   assert.equal((await other).status, 200)
   assert.equal(target.receivedIds.length, 3)
 })
+
+test('a request that waits for a connection is not sent beside a later one when several of it were lost at once', async (t) => {
+  const { gateway, target, call, crash, release } = await startFullOwner(t)
+  const first = call('/notes/crash')
+  await setTimeout(50)
+  gateway.crashingRequests.merge([crash(1, { shared: true, endedAgeMs: 30_000, sentAgeMs: 30_050 })])
+  const second = call('/notes/crash')
+  await setTimeout(50)
+  await release()
+  const responses = await Promise.all([first, second])
+  assert.deepEqual(
+    responses.map(({ status, body }) => [status, body.includes('suspect_runs')]),
+    [
+      [503, true],
+      [200, false],
+    ],
+  )
+  assert.equal(target.receivedIds.length, 3)
+})
--- a/packages/gateway/src/proxied-request.ts
+++ b/packages/gateway/src/proxied-request.ts
@@ -298,7 +298,9 @@
     if (kind !== 'first') return !crashingRequests.mayRepeat(this.#crashNames)
     const verdict = crashingRequests.verdict(this.#crashNames)
     if (verdict === verdictBefore) return false
-    return verdict === CrashVerdict.runsAlone || verdict === CrashVerdict.blocked
+    if (verdict === CrashVerdict.runsAlone || verdict === CrashVerdict.blocked) return true
+    // Its own run would be found among those under suspicion if it had been a suspect at its choice.
+    return verdictBefore === CrashVerdict.unsuspected && this.#refuseCrashing() !== undefined
   }
 
   /** Why the request must not be sent to the selected target, if this is a repeat; undefined if it may be. */
