Name the connections of random targets by the order of their first requests, not by port

It took the port of the gateway's end for the name of a connection. That a port was given twice within the run is suspected; in four more runs that looked for it, it did not happen.

Now the target numbers its connections, which no connection shares with another one.

--- a/packages/gateway/src/second-answer-faults.test.ts
+++ b/packages/gateway/src/second-answer-faults.test.ts
@@ -84,27 +84,30 @@
       violations.push(`${requestId} got another status or body than ${signature} had`)
     else checkExchange(requestId, written)
   }
-  /** Port of the gateway's end of each connection, by target and number of the connection, and the reverse. */
-  const ports = new Map<string, string>()
+  /** The target's name of each connection by the gateway's name of it, and the reverse. */
+  const connections = new Map<string, string>()
   let compared = 0
   /** A connection carries bytes in order, so the number of the exchange on it tells which answer is meant. */
-  const checkExchange = (requestId: string, { exchange, receipt, target, port }: WrittenAnswer): void => {
+  const checkExchange = (
+    requestId: string,
+    { exchange, receipt, target, connection }: WrittenAnswer,
+  ): void => {
     const answered = logger.answered.get(requestId)
     // Not logged for the answer to an earlier attempt, which is passed on when no later one has a better answer.
     if (answered?.['exchanges'] === undefined) return
     compared += 1
     const expected = exchangeKey(answered)
-    const connection = `${target}/${String(answered['connection'])}`
-    const socket = `${target}:${String(port)}`
-    if (!ports.has(connection)) ports.set(connection, socket)
-    if (!ports.has(socket)) ports.set(socket, connection)
-    if (expected !== `${connection}/${String(exchange)}`)
+    const opened = `${target}/${String(answered['connection'])}`
+    const accepted = `${target}:${String(connection)}`
+    if (!connections.has(opened)) connections.set(opened, accepted)
+    if (!connections.has(accepted)) connections.set(accepted, opened)
+    if (expected !== `${opened}/${String(exchange)}`)
       violations.push(
         `${requestId} got the answer to exchange ${String(exchange)} of ${target} for ${expected}`,
       )
-    if (ports.get(connection) !== socket || ports.get(socket) !== connection)
+    if (connections.get(opened) !== accepted || connections.get(accepted) !== opened)
       violations.push(
-        `${requestId} got an answer from ${socket} for ${expected}, which is another connection`,
+        `${requestId} got an answer of connection ${accepted} for ${expected}, which is another connection`,
       )
     if (logger.discarded.has(expected))
       violations.push(`${requestId} got the answer to ${expected}, which had been discarded`)
--- a/packages/gateway/src/testing-second-answers.ts
+++ b/packages/gateway/src/testing-second-answers.ts
@@ -23,11 +23,11 @@
   readonly receipt: number
   /** Id of the target that wrote it. */
   readonly target: string
-  /** Port of the gateway's end of the connection. */
-  readonly port: number | undefined
+  /** Number of the connection, in the order of their first requests. */
+  readonly connection: number
 }
 
-type ReceivedRequest = Pick<WrittenAnswer, 'requestId' | 'exchange' | 'receipt' | 'target' | 'port'>
+type ReceivedRequest = Pick<WrittenAnswer, 'requestId' | 'exchange' | 'receipt' | 'target' | 'connection'>
 
 type Framing = 'length' | 'chunks' | 'none'
 
@@ -58,9 +58,10 @@
   readonly written = new Map<string, WrittenAnswer>()
   /** How often each request was received. */
   readonly receipts = new Map<string, number>()
-  readonly #exchanges = new WeakMap<Socket, number>()
+  readonly #connections = new WeakMap<Socket, { readonly number: number; exchanges: number }>()
   readonly #random: Random
   #signatures = 0
+  #connectionCount = 0
   raw!: RawTarget
 
   readonly #breaksOff: boolean
@@ -77,11 +78,12 @@
   ): Promise<RepeatingTarget> {
     const target = new RepeatingTarget(new Random(seed), breaksOff)
     target.raw = await startRawTarget(t, id, (socket, requestId) => {
-      const exchange = (target.#exchanges.get(socket) ?? 0) + 1
-      target.#exchanges.set(socket, exchange)
+      const connection = target.#connectionOf(socket)
+      connection.exchanges += 1
       const receipt = (target.receipts.get(requestId) ?? 0) + 1
       target.receipts.set(requestId, receipt)
-      void target.#answer(socket, { requestId, exchange, receipt, target: id, port: socket.remotePort })
+      const { number, exchanges } = connection
+      void target.#answer(socket, { requestId, exchange: exchanges, receipt, target: id, connection: number })
     })
     return target
   }
@@ -92,6 +94,15 @@
       .length
   }
 
+  #connectionOf(socket: Socket): { readonly number: number; exchanges: number } {
+    const known = this.#connections.get(socket)
+    if (known !== undefined) return known
+    this.#connectionCount += 1
+    const connection = { number: this.#connectionCount, exchanges: 0 }
+    this.#connections.set(socket, connection)
+    return connection
+  }
+
   async #answer(socket: Socket, received: ReceivedRequest): Promise<void> {
     const { requestId, target } = received
     await sleep(this.#random.integer(maxWorkMs))
