End the wait for a connection after one turn of the event loop, not after the time of the block

After a host was frozen for two seconds, a request could then be written four seconds after its target was chosen, to one that had said meanwhile that it leaves; before, 400 ms was the bound of that wait. Found in the reading before the merge; no run showed it.

What the timer must not overtake are the events that were waiting when it ran. They are handled in the turn of the event loop that follows, so the limit is judged right after it: a connection that is open by then is used, and a request without one ends as before.

--- a/packages/gateway/src/target-exchange.ts
+++ b/packages/gateway/src/target-exchange.ts
@@ -37,9 +37,6 @@
  */
 const maxFramingBytes = 256 * 1024
 
-/** Timers are late by up to about a millisecond when the process is not blocked, as Node rounds their times. */
-const maxTimerLateMs = 2
-
 /** Why no byte of the request was sent. */
 export const NotSentReason = {
   /** No connection to the target could be opened, or not in time. */
@@ -172,7 +169,13 @@
       ...(options.maxIdleMs === undefined ? {} : { maxIdleMs: options.maxIdleMs }),
     }
     this.#request = httpRequest(requestOptions)
-    this.#limitWait(options.connectTimeoutMs)
+    this.#connectTimer = setTimeout(() => {
+      // Timers run before events of sockets: a connection that opened or became free while this process was blocked
+      // is noticed first.
+      setImmediate(() => {
+        this.#endWait()
+      })
+    }, options.connectTimeoutMs)
     this.#request.on('socket', (socket: Socket) => {
       this.#socket = socket
       if (!socket.connecting) this.#writeRequest()
@@ -203,23 +206,12 @@
     if (this.#sent) this.#socket?.destroy()
   }
 
-  /**
-   * Ends the exchange when no connection is ready in time. Timers run before events of sockets, so after this process
-   * was blocked, the timer would run before a connection that has opened or become free meanwhile is noticed. The time
-   * by which the timer is late is therefore waited again.
-   */
-  #limitWait(limitMs: number): void {
-    const endMs = performance.now() + limitMs
-    this.#connectTimer = setTimeout(() => {
-      const lateMs = performance.now() - endMs
-      if (lateMs > maxTimerLateMs) {
-        this.#limitWait(lateMs)
-        return
-      }
-      const reason = this.#socket === undefined ? NotSentReason.noConnection : NotSentReason.connect
-      this.#settle({ kind: 'not_sent', reason, message: 'no connection within the time limit' })
-      this.#request.destroy()
-    }, limitMs)
+  /** Ends the exchange when no connection is ready in time. */
+  #endWait(): void {
+    if (this.#settled || (this.#socket !== undefined && !this.#socket.connecting)) return
+    const reason = this.#socket === undefined ? NotSentReason.noConnection : NotSentReason.connect
+    this.#settle({ kind: 'not_sent', reason, message: 'no connection within the time limit' })
+    this.#request.destroy()
   }
 
   #writeAfterDelay(delayMs: number): void {
