Let two rows of check-defences apply to the code again

The row on the lease takes the defence out of both places, that on requests that are chosen for together before the line as it is now. Their tests were not run for this commit.

--- a/scripts/check-defences.mjs
+++ b/scripts/check-defences.mjs
@@ -132,8 +132,13 @@
     changes: [
       [
         gateway('leadership'),
-        'new HeldLease(leaseTimes, sentAt)',
-        'new HeldLease(leaseTimes, this.#reading())',
+        'return;\n        this.#lease = new HeldLease(leaseTimes, sentAt)',
+        'return;\n        this.#lease = new HeldLease(leaseTimes, this.#reading())',
+      ],
+      [
+        gateway('leadership'),
+        'this.#earlierLease = this.#lease;\n        this.#lease = new HeldLease(leaseTimes, sentAt)',
+        'this.#earlierLease = this.#lease;\n        this.#lease = new HeldLease(leaseTimes, this.#reading())',
       ],
       [gateway('leadership'), '#lease?.recordRenewal(sentAt)', '#lease?.recordRenewal(this.#reading())'],
     ],
@@ -253,8 +258,8 @@
     changes: [
       [
         gateway('proxied-request'),
-        "const refusal = 'refusal' in selection",
-        "await undefined;\n        const refusal = 'refusal' in selection",
+        'const refusal = this.#refuseCrashing() ??',
+        'await undefined;\n        const refusal = this.#refuseCrashing() ??',
       ],
     ],
   },
