Give the crash history of a request, crash statements and the tests of waiting requests files of their own

What a request asks and tells about crashes moves to RequestCrashHistory, which asks at one place whether any request is suspected at all; what hosts tell each other of crashes moves to crash-statements.ts, and the tests of requests that wait for a connection to waiting-requests.test.ts.

The row of check-defences on requests that are chosen for together names the moved line; each of the changes of all rows applies once to the built files.

--- a/packages/gateway/src/crashing-requests.ts
+++ b/packages/gateway/src/crashing-requests.ts
@@ -17,6 +17,7 @@
   turnWaitMs,
   type CrashedRun,
 } from '@pimentotally/routing'
+import type { CrashStatement } from './crash-statements.js'
 import type { Directory, KnownTarget } from './directory.js'
 
 /** A blocked request is refused for this long after its last crash; then it runs alone once more. */
@@ -74,51 +75,6 @@
   readonly body: Buffer | undefined
 }
 
-/** A crashed run, as hosts tell each other. */
-export interface CrashStatement {
-  /** Name of the request; see `CrashingRequests.identify`. */
-  readonly request: string
-  readonly target: string
-  /** Start of the target's process; null when its entry does not say. */
-  readonly startedAtEpochMs: number | null
-  readonly hostName: string
-  readonly sentAgeMs: number
-  readonly endedAgeMs: number
-  /** Whether the request has run to its end since. */
-  readonly cleared: boolean
-  /** Since the request last ran to its end at any host; absent if that is not known. */
-  readonly completedAgeMs?: number
-  /** Whether the target's process ended under several runs of the request at once; absent if that is not known. */
-  readonly shared?: boolean
-}
-
-export const isCrashStatement = (value: unknown): value is CrashStatement => {
-  const {
-    request,
-    target,
-    startedAtEpochMs,
-    hostName,
-    sentAgeMs,
-    endedAgeMs,
-    cleared,
-    completedAgeMs,
-    shared,
-  } = (value ?? {}) as Partial<Record<string, unknown>>
-  return (
-    typeof request === 'string' &&
-    typeof target === 'string' &&
-    (startedAtEpochMs === null || Number.isFinite(startedAtEpochMs)) &&
-    typeof hostName === 'string' &&
-    Number.isFinite(sentAgeMs) &&
-    Number.isFinite(endedAgeMs) &&
-    Number(endedAgeMs) >= 0 &&
-    Number(sentAgeMs) >= Number(endedAgeMs) &&
-    typeof cleared === 'boolean' &&
-    (completedAgeMs === undefined || (Number.isFinite(completedAgeMs) && Number(completedAgeMs) >= 0)) &&
-    (shared === undefined || typeof shared === 'boolean')
-  )
-}
-
 interface KnownRun extends CrashedRun {
   readonly target: string
   readonly startedAtEpochMs: number | undefined
--- a/packages/gateway/src/proxied-request.ts
+++ b/packages/gateway/src/proxied-request.ts
@@ -7,7 +7,6 @@
 import { breakOffResponse, endToEndHeaders } from '@pimentotally/http'
 import { replacedTargetHeaders, isLeaving, isMisdirected, targetHeaders } from '@pimentotally/platform'
 import {
-  CrashVerdict,
   hedgeDelayMs,
   isIdempotent,
   moveWaitMs,
@@ -22,9 +21,9 @@
   type CutReason,
   type GeneratedResponse,
 } from './caller-response.js'
-import { CrashingRequests } from './crashing-requests.js'
 import type { KnownTarget } from './directory.js'
 import type { Dispatcher, DispatcherOptions, InboundRequest } from './dispatcher.js'
+import { RequestCrashHistory } from './request-crash-history.js'
 import {
   NotSentReason,
   TargetExchange,
@@ -39,7 +38,6 @@
   type ChosenTarget,
   type Refusal,
   type Selection,
-  type SelectionRequest,
 } from './target-selector.js'
 
 /**
@@ -127,9 +125,7 @@
    * complete, it is forwarded when no other attempt brings a response without a server error.
    */
   #fallbackResponse: TargetResponse | undefined
-  /** Address of the caller; a closed connection does not tell it any more. */
-  readonly #caller: string
-  #names: readonly string[] | undefined
+  readonly #crashHistory: RequestCrashHistory
   /** Functions that remove the timers and listeners of the request when it ends. */
   readonly #cleanups: (() => void)[] = []
 
@@ -138,7 +134,7 @@
     this.#inbound = inbound
     const { route } = inbound.match
     this.#isIdempotent = isIdempotent(route.kind)
-    this.#caller = inbound.request.socket.remoteAddress ?? ''
+    this.#crashHistory = new RequestCrashHistory(dispatcher.options.crashingRequests, inbound)
     const routeLimitMs = route.timeoutMs > 0 ? route.timeoutMs : longestRequestMs
     this.#deadlineAtMs =
       inbound.arrivedAtMs + Math.min(routeLimitMs, inbound.callerDeadlineMs ?? longestRequestMs)
@@ -232,7 +228,7 @@
     // Nothing is awaited between the choice and the sending: requests whose waits end together would otherwise
     // all be chosen for before the first one counts against the target's limits.
     const refusal =
-      this.#refuseCrashing() ??
+      this.#crashHistory.refuse() ??
       ('refusal' in selection ? selection.refusal : this.#refuseRepeat(kind, selection.target))
     if (refusal === undefined) {
       this.#sendTo(kind, selection as ChosenTarget)
@@ -252,57 +248,10 @@
       noRetry: this.#noRetry,
       elapsedMs: this.#elapsedMs(),
       leftMs: this.#leftMs(),
-      ...this.#isolation(),
+      ...this.#crashHistory.isolation(),
     })
   }
 
-  /** The names by which the request is known when it comes again. */
-  get #crashNames(): readonly string[] {
-    const { request, body } = this.#inbound
-    this.#names ??= CrashingRequests.identify({
-      method: request.method ?? 'GET',
-      hostname: request.headers.host ?? '',
-      path: request.url ?? '/',
-      caller: this.#caller,
-      body,
-    })
-    return this.#names
-  }
-
-  /** Keeps a suspect away from targets that run others, so that a crash tells which of them caused it. */
-  #isolation(): Pick<SelectionRequest, 'occupied' | 'runsAlone'> {
-    const { crashingRequests } = this.#options
-    if (crashingRequests.isEmpty) return {}
-    const verdict = crashingRequests.verdict(this.#crashNames)
-    if (verdict === CrashVerdict.unsuspected) return {}
-    return {
-      occupied: crashingRequests.occupiedTargets(this.#crashNames),
-      runsAlone: verdict !== CrashVerdict.suspected,
-    }
-  }
-
-  #refuseCrashing(): Refusal | undefined {
-    const { crashingRequests } = this.#options
-    return crashingRequests.isEmpty
-      ? undefined
-      : crashingRequests.refuse(this.#crashNames, defaultRetryAfterMs)
-  }
-
-  /**
-   * Whether lost runs of the request that became known while it waited for a connection keep it from running. A first
-   * sending that was chosen to run alone still may; a repeat is held to what is asked of it at its choice.
-   */
-  #isSuspectedMore(kind: SendKind, verdictBefore: CrashVerdict): boolean {
-    const { crashingRequests } = this.#options
-    if (crashingRequests.isEmpty) return false
-    if (kind !== 'first') return !crashingRequests.mayRepeat(this.#crashNames)
-    const verdict = crashingRequests.verdict(this.#crashNames)
-    if (verdict === verdictBefore) return false
-    if (verdict === CrashVerdict.runsAlone || verdict === CrashVerdict.blocked) return true
-    // Its own run would be found among those under suspicion if it had been a suspect at its choice.
-    return verdictBefore === CrashVerdict.unsuspected && this.#refuseCrashing() !== undefined
-  }
-
   /** Why the request must not be sent to the selected target, if this is a repeat; undefined if it may be. */
   #refuseRepeat(kind: SendKind, { id }: KnownTarget): Refusal | undefined {
     if (kind === 'first') return undefined
@@ -317,13 +266,12 @@
   }
 
   #sendTo(kind: SendKind, { target, predicted }: ChosenTarget): void {
-    const { targets, crashingRequests } = this.#options
+    const { targets } = this.#options
     const { request, requestId, match, body } = this.#inbound
     const agent = targets.agent(target, match.service)
     const sentAtMs = this.#nowMs()
-    const verdict = crashingRequests.isEmpty
-      ? CrashVerdict.unsuspected
-      : crashingRequests.verdict(this.#crashNames)
+    const { verdict } = this.#crashHistory
+    const isRepeat = kind !== 'first'
     const exchange = new TargetExchange({
       agent,
       address: target.address,
@@ -337,7 +285,7 @@
       // A request that must not be repeated is not written to a connection that the target may have closed, or
       // on which bytes of another response may arrive.
       ...(this.#isIdempotent ? {} : { maxIdleMs: targets.isReuseUnsafe(target.id) ? 0 : maxUnsafeIdleMs }),
-      mayStart: () => !this.#finished && !this.#isSuspectedMore(kind, verdict),
+      mayStart: () => !this.#finished && !this.#crashHistory.isSuspectedMore(verdict, { isRepeat }),
       settled: (result) => {
         void this.#guard(() => {
           this.#pendingAttempts.delete(attempt)
@@ -347,9 +295,7 @@
         })
       },
     })
-    const runEnded = crashingRequests.isEmpty
-      ? () => undefined
-      : crashingRequests.runStarted(this.#crashNames, target.id)
+    const runEnded = this.#crashHistory.runStarted(target.id)
     this.#sends += 1
     const attempt: Attempt = { target, exchange, sentAtMs, number: this.#sends, predicted, runEnded }
     this.#pendingAttempts.add(attempt)
@@ -365,27 +311,10 @@
     return headers
   }
 
-  /** Records what the result of an attempt tells about whether the request crashes its targets. */
-  #recordCrashEvidence({ target, sentAtMs }: Attempt, result: ExchangeResult): void {
-    const { crashingRequests } = this.#options
-    const lost = (): void => {
-      const { requestId } = this.#inbound
-      void crashingRequests.runLost({ names: this.#crashNames, requestId, target, sentAtMs })
-    }
-    const completed = (): void => {
-      crashingRequests.runCompleted(this.#crashNames)
-    }
-    if (result.kind === 'lost' && (result.reason === 'reset' || result.reason === 'truncated')) lost()
-    if (result.kind !== 'response' || result.notExecuted) return
-    if (result.complete) completed()
-    // The connection may still be lost while the rest of the body arrives.
-    else result.incoming.once('end', completed).once('error', lost)
-  }
-
   /** Records what the result of an attempt tells about its target: reachability, load and speed. */
   #recordResult(attempt: Attempt, result: ExchangeResult): void {
     const { target, sentAtMs, predicted } = attempt
-    this.#recordCrashEvidence(attempt, result)
+    this.#crashHistory.record(target, sentAtMs, result)
     const { targets, metrics, observeSpeed } = this.#options
     const { route, service } = this.#inbound.match
     const tookMs = this.#nowMs() - sentAtMs
@@ -474,7 +403,7 @@
       void this.#guard(() => this.#send('retry'))
       return
     }
-    const refusal = result.kind === 'not_sent' ? this.#refuseCrashing() : undefined
+    const refusal = result.kind === 'not_sent' ? this.#crashHistory.refuse() : undefined
     this.#endWithoutTarget(refusal ?? { reason: cause, retryAfterMs: defaultRetryAfterMs })
   }
 
@@ -484,14 +413,13 @@
    */
   #mayChooseAgain(result: ExchangeResult): boolean {
     const isUnwanted = result.kind === 'not_sent' && result.reason === NotSentReason.notWanted
-    return isUnwanted && this.#sends === 1 && this.#refuseCrashing() === undefined
+    return isUnwanted && this.#sends === 1 && this.#crashHistory.refuse() === undefined
   }
 
   /** Whether the request may be sent again, as far as its route, its deadline and earlier attempts go. */
   #mayRepeat(): boolean {
     if (this.#mayHaveRunOn.size > 0 && !this.#isIdempotent) return false
-    const { crashingRequests } = this.#options
-    if (!crashingRequests.isEmpty && !crashingRequests.mayRepeat(this.#crashNames)) return false
+    if (!this.#crashHistory.mayRepeat()) return false
     const { route } = this.#inbound.match
     const workMs = this.#dispatcher.routeWorkMs(route)
     // A request with a key may be sent to its owner again, as no other target can run it.
@@ -518,7 +446,7 @@
     })
     if (delayMs === undefined) return
     const sendHedge = (): void => {
-      const { occupied } = this.#isolation()
+      const { occupied } = this.#crashHistory.isolation()
       const isAlone = this.#pendingAttempts.size === 1 && this.#tried.size === 1
       if (isAlone && occupied === undefined && this.#mayRepeat()) void this.#guard(() => this.#send('hedge'))
     }
--- a/scripts/check-defences.mjs
+++ b/scripts/check-defences.mjs
@@ -258,8 +258,8 @@
     changes: [
       [
         gateway('proxied-request'),
-        'const refusal = this.#refuseCrashing() ??',
-        'await undefined;\n        const refusal = this.#refuseCrashing() ??',
+        'const refusal = this.#crashHistory.refuse() ??',
+        'await undefined;\n        const refusal = this.#crashHistory.refuse() ??',
       ],
     ],
   },
