--- a/review/lib-2/stand-ins.mjs
+++ b/review/lib-2/stand-ins.mjs
@@ -384,9 +384,9 @@
   return { path, remove: () => rmSync(path, { recursive: true, force: true }) }
 }
 
-/** Runs a case: exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
-export const runCase = async (folder, play) => {
-  const record = new Record(join(folder, 'record.txt'))
+/** Runs the case of a script: exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
+export const runCase = async (scriptUrl, play) => {
+  const record = new Record(join(dirname(fileURLToPath(scriptUrl)), 'record.txt'))
   const temporary = temporaryFolder()
   const endings = []
   record.line(`trouble: ${isTroubled ? 'yes' : 'no'}`)
